--- a/policy/policy.go
+++ b/policy/policy.go
@@ -310,7 +310,7 @@
 	// Counts of few calls a second are rough: halvings must not starve a gate whose limit is known.
 	least := math.Max(paceLeast, paceSure*s.limit(g)/float64(s.set.Senders))
 	g.ceiling, g.pace = math.Max(rate, least), math.Max(rate/2, least)
-	g.tokens, g.tokensAt, g.halvedAt = 0, s.now, s.now
+	g.tokens, g.tokensAt, g.halvedAt, g.guessed = 0, s.now, s.now, false
 	// A clump refused at hundreds of senders comes again spread over several times its own length.
 	if s.sparse(g) {
 		g.tokens = 0.5 - sparseSpread*s.rng.Float64()
@@ -488,6 +488,7 @@
 	r.okAt, r.okSent, r.streak, r.refusals = s.now, max(r.okSent, sent), 0, 0
 	r.recent, g.streak, g.tights = r.recent<<1, 0, 0
 	s.answered(r, took)
+	s.settle(g)
 	if r.down {
 		r.down, r.skipUntil, r.skipLen = false, 0, 0
 		g.pace, g.tokens, g.tokensAt = paceRestart, 0, s.now
--- a/policy/resume.go
+++ b/policy/resume.go
@@ -10,7 +10,8 @@
 
 // resume gives a message what an earlier process knew of it, so that the guards hold across a restart. Guards
 // also against a backlog that a fresh Sender, free of any pace, would pour onto hosts as one: the pace of its
-// destination starts at this sender's part.
+// destination starts at this sender's part. Where nothing tells of a limit yet, that is a guess, and far too low
+// for most: it stands until the first delivery.
 func (s *Sender) resume(m *message, e *Resumed) {
 	if e == nil {
 		return
@@ -28,10 +29,23 @@
 	for _, g := range m.dest.gates {
 		if g.pace == 0 {
 			g.pace, g.tokens, g.tokensAt = s.part(g), 1, s.now
+			g.guessed = s.limit(g) == 0
 		}
 	}
 }
 
+// settle replaces a guessed pace by what the first delivery has told: this sender's part of the limit, or none
+// where there is no limit.
+func (s *Sender) settle(g *gate) {
+	if !g.guessed {
+		return
+	}
+	g.guessed, g.pace = false, 0
+	if s.limit(g) > 0 {
+		g.pace = s.part(g)
+	}
+}
+
 // MayStill tells whether a call to a route that was decided earlier may leave at now. Guards against one that
 // was held up, by a slow connection say, while a drain or a wait was told.
 func (s *Sender) MayStill(route string, now time.Duration) bool {
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"testing"
 	"time"
 )
@@ -93,6 +94,33 @@
 	}
 }
 
+// A backlog once went out at the pace of a limit that nobody had told yet, long after the first answers had told it.
+func TestTheFirstDeliverySettlesAGuessedPace(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		told Report
+		want float64
+	}{
+		{"a limit is told", Report{Told: true, Limit: 20}, 20 * (1 - ownPart)},
+		{"there is none", Report{}, 0},
+	} {
+		set := settings()
+		set.NoWeights = true
+		d := newDesk(t, set, Listing{Route: "a", Kind: 1})
+		d.step(Event{Kind: Taken, ID: 1, Left: 60 * time.Second, Resumed: &Resumed{}},
+			Event{Kind: Taken, ID: 2, Left: 60 * time.Second, Resumed: &Resumed{}})
+		g := d.s.routes["a"].gate
+		if g.pace != d.s.part(g) || !d.s.msgs[2].queued {
+			t.Errorf("%s: pace %v before the first answer, want %v", c.name, g.pace, d.s.part(g))
+		}
+		d.now += 10 * ms
+		d.step(Event{Kind: Finished, ID: 1, Route: "a", Outcome: OK, Took: 10 * ms, Ended: true, Report: c.told})
+		if math.Abs(g.pace-c.want) > 1e-9 {
+			t.Errorf("%s: pace %v after the first delivery, want %v", c.name, g.pace, c.want)
+		}
+	}
+}
+
 func TestACallMayNoLongerLeave(t *testing.T) {
 	s, err := New(resumeSettings(), 1)
 	if err != nil {
--- a/policy/state.go
+++ b/policy/state.go
@@ -20,6 +20,7 @@
 	kind     int
 	wait     time.Duration // no send before this: a told wait
 	pace     float64       // calls a second; 0: free
+	guessed  bool          // the pace is a guess until a delivery or a refusal
 	ceiling  float64       // rate that was refused last
 	halvedAt time.Duration
 	creptAt  time.Duration
