--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,6 +38,7 @@
 	paceCrawl    = 0.03                    // the same near the rate that was refused last
 	creepSteps   = 8                       // most seconds that one success counts for
 	paceNear     = 0.85                    // "near": above this share of that rate
+	reportNoise  = 1.25                    // reports of a steady limit differ by less than this factor
 	paceFree     = 3.0                     // above this multiple of the rate in use a pace does not grow
 	paceBurst    = 300 * time.Millisecond  // span of pace that may be sent at once after idling
 	toldShare    = 2.0 / 3                 // of a push: less from senders told of failures breaks no failback
@@ -309,7 +310,7 @@
 	}
 	// Counts of few calls a second are rough: halvings must not starve a gate whose limit is known.
 	least := math.Max(paceLeast, paceSure*s.limit(g)/float64(s.set.Senders))
-	g.ceiling, g.pace = math.Max(rate, least), math.Max(rate/2, least)
+	g.ceiling, g.under, g.pace = math.Max(rate, least), s.limit(g), math.Max(rate/2, least)
 	g.tokens, g.tokensAt, g.halvedAt, g.guessed = 0, s.now, s.now, false
 	// A clump refused at hundreds of senders comes again spread over several times its own length.
 	if s.sparse(g) {
@@ -326,8 +327,12 @@
 	if g.pace > paceFree*math.Max(1, s.lastSecond(g)) {
 		return
 	}
-	growth := 1 + paceCreep
-	if g.ceiling > 0 && g.pace > paceNear*g.ceiling {
+	growth, near := 1+paceCreep, paceNear*g.ceiling
+	// A limit may have been lowered for a while: what was refused then says less once a higher one is told.
+	if l := s.limit(g); g.under > 0 && l > reportNoise*g.under {
+		near *= l / g.under
+	}
+	if g.ceiling > 0 && g.pace > near {
 		growth = 1 + paceCrawl
 	}
 	// Where successes are seconds apart, each counts for the seconds that it stands for.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -227,6 +227,28 @@
 	}
 }
 
+// A pace once crawled near a rate that was refused while the limit was low, long after a higher one was told.
+func TestPaceCreepsAgainUnderAHigherLimit(t *testing.T) {
+	for _, c := range []struct{ limit, growth float64 }{{4, paceCrawl}, {16, paceCreep}} {
+		set := settings()
+		set.NoWeights = true
+		d := newDesk(t, set, Listing{Route: "a"})
+		r := d.s.routes["a"]
+		d.s.report(r, Report{Told: true, Limit: 4})
+		for id := range uint32(8) {
+			d.take(id, 0)
+		}
+		d.end(0, "a", Full, 100*ms, 0)
+		g := r.gate
+		g.pace = g.ceiling
+		d.s.report(r, Report{Told: true, Limit: c.limit})
+		d.end(1, "a", OK, 100*ms, 0)
+		if want := g.ceiling * (1 + c.growth); math.Abs(g.pace-want) > 1e-9 {
+			t.Errorf("limit %v: pace %v after a delivery, want %v", c.limit, g.pace, want)
+		}
+	}
+}
+
 func TestFinalAnswers(t *testing.T) {
 	for _, c := range []struct {
 		class   int
--- a/policy/state.go
+++ b/policy/state.go
@@ -22,6 +22,7 @@
 	pace     float64       // calls a second; 0: free
 	guessed  bool          // the pace is a guess until a delivery or a refusal
 	ceiling  float64       // rate that was refused last
+	under    float64       // the limit as it was told then; 0: none was
 	halvedAt time.Duration
 	creptAt  time.Duration
 	tokens   float64
