--- /dev/null
+++ b/policy/pace.go
@@ -0,0 +1,59 @@
+package policy
+
+import "math"
+
+// The pace of a gate: free at first, halved by a refusal, creeping back with success.
+
+// halve sets the pace to half the last second's rate, once for all calls that were out together.
+func (s *Sender) halve(r *route, o sample) {
+	g := r.gate
+	if o.sent < g.halvedAt {
+		return
+	}
+	rate := s.lastSecond(g)
+	if g.pace > 0 {
+		rate = math.Min(rate, g.pace)
+	}
+	// Counts of few calls a second are rough: halvings must not starve a gate whose limit is known.
+	least := math.Max(paceLeast, paceSure*s.limit(g)/float64(s.set.Senders))
+	g.ceiling, g.under, g.pace = math.Max(rate, least), s.limit(g), math.Max(rate/2, least)
+	g.tokens, g.tokensAt, g.halvedAt, g.guessed = 0, s.now, s.now, false
+	// A clump refused at hundreds of senders comes again spread over several times its own length.
+	if s.sparse(g) {
+		g.tokens = 0.5 - sparseSpread*s.rng.Float64()
+	}
+}
+
+// creep lets the pace grow with a success, slowly near the rate that was refused last.
+func (s *Sender) creep(g *gate) {
+	if g.pace == 0 {
+		return
+	}
+	s.refill(g, paceBurst)
+	if g.pace > paceFree*math.Max(1, s.lastSecond(g)) {
+		return
+	}
+	growth, near := 1+paceCreep, paceNear*g.ceiling
+	// A limit may have been lowered for a while: what was refused then says less once a higher one is told.
+	if l := s.limit(g); g.under > 0 && l > reportNoise*g.under {
+		near *= l / g.under
+	}
+	if g.ceiling > 0 && g.pace > near {
+		growth = 1 + paceCrawl
+	}
+	// Where successes are seconds apart, each counts for the seconds that it stands for.
+	steps := min(max(1, (s.now-max(g.creptAt, g.halvedAt)).Seconds()), creepSteps)
+	g.pace, g.creptAt = g.pace*math.Pow(growth, steps), s.now
+}
+
+// settle replaces a guessed pace by what the first delivery has told: this sender's part of the limit, or none
+// where there is no limit.
+func (s *Sender) settle(g *gate) {
+	if !g.guessed {
+		return
+	}
+	g.guessed, g.pace = false, 0
+	if s.limit(g) > 0 {
+		g.pace = s.part(g)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,5 +1,5 @@
 // Package policy makes a sender's decisions: which route a message tries, when it moves on, waits, is refused
-// or fails. Its interface stands in api.go; all decisions stand here. The mechanism is a tiered provider
+// or fails. Its interface stands in api.go; the decisions stand here, in pace.go, resume.go and spent.go. The mechanism is a tiered provider
 // selector: a message tries the routes of its destination in a fixed order, the first failure rule that
 // matches an outcome decides, and a failing route is skipped by later messages until its skip expires. Order
 // of reading: constants, failure rules, gate and route, message, the guards mayAttempt and mayRefuse, route
@@ -298,48 +298,6 @@
 	return len(r.calls) >= n && s.now > r.calls[n-1].expect && r.okSent < r.calls[n-1].sent
 }
 
-// halve sets the pace to half the last second's rate, once for all calls that were out together.
-func (s *Sender) halve(r *route, o sample) {
-	g := r.gate
-	if o.sent < g.halvedAt {
-		return
-	}
-	rate := s.lastSecond(g)
-	if g.pace > 0 {
-		rate = math.Min(rate, g.pace)
-	}
-	// Counts of few calls a second are rough: halvings must not starve a gate whose limit is known.
-	least := math.Max(paceLeast, paceSure*s.limit(g)/float64(s.set.Senders))
-	g.ceiling, g.under, g.pace = math.Max(rate, least), s.limit(g), math.Max(rate/2, least)
-	g.tokens, g.tokensAt, g.halvedAt, g.guessed = 0, s.now, s.now, false
-	// A clump refused at hundreds of senders comes again spread over several times its own length.
-	if s.sparse(g) {
-		g.tokens = 0.5 - sparseSpread*s.rng.Float64()
-	}
-}
-
-// creep lets the pace grow with a success, slowly near the rate that was refused last.
-func (s *Sender) creep(g *gate) {
-	if g.pace == 0 {
-		return
-	}
-	s.refill(g, paceBurst)
-	if g.pace > paceFree*math.Max(1, s.lastSecond(g)) {
-		return
-	}
-	growth, near := 1+paceCreep, paceNear*g.ceiling
-	// A limit may have been lowered for a while: what was refused then says less once a higher one is told.
-	if l := s.limit(g); g.under > 0 && l > reportNoise*g.under {
-		near *= l / g.under
-	}
-	if g.ceiling > 0 && g.pace > near {
-		growth = 1 + paceCrawl
-	}
-	// Where successes are seconds apart, each counts for the seconds that it stands for.
-	steps := min(max(1, (s.now-max(g.creptAt, g.halvedAt)).Seconds()), creepSteps)
-	g.pace, g.creptAt = g.pace*math.Pow(growth, steps), s.now
-}
-
 // crowded tells whether a failed connection looks like a full table: it failed at once, at a route that
 // answered of late or, among many senders, of a kind that had such failures. Some in a row are an outage.
 func (s *Sender) crowded(r *route, o sample) bool {
--- a/policy/resume.go
+++ b/policy/resume.go
@@ -34,18 +34,6 @@
 	}
 }
 
-// settle replaces a guessed pace by what the first delivery has told: this sender's part of the limit, or none
-// where there is no limit.
-func (s *Sender) settle(g *gate) {
-	if !g.guessed {
-		return
-	}
-	g.guessed, g.pace = false, 0
-	if s.limit(g) > 0 {
-		g.pace = s.part(g)
-	}
-}
-
 // MayStill tells whether a call to a route that was decided earlier may leave at now. Guards against one that
 // was held up, by a slow connection say, while a drain or a wait was told.
 func (s *Sender) MayStill(route string, now time.Duration) bool {
