--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,9 +1,9 @@
 // Package policy makes a sender's decisions: which route a message tries, when it moves on, waits, is refused
 // or fails. Its interface stands in api.go; the decisions stand here, in pace.go, resume.go and spent.go. The
-// mechanism is a tiered provider selector: a message tries the routes of its destination in a fixed order, the
-// first failure rule that matches an outcome decides, and a failing route is skipped by later messages until its
-// skip expires. Order of reading: constants, failure rules, gate and route, message, the guards mayAttempt and
-// mayRefuse, route choice, queue and dispatch, deadlines.
+// mechanism is a tiered provider selector: a message tries the routes of its destination in a fixed order,
+// the first failure rule that matches an outcome decides, and a failing route is skipped by later messages
+// until its skip expires. Order of reading: constants, failure rules, gate and route, message, the guards
+// mayAttempt and mayRefuse, route choice, queue and dispatch, deadlines.
 package policy
 
 import (
