--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -36,6 +36,7 @@
 	p := &pairs{values: values}
 	set := policy.Settings{
 		Senders:        p.integer("fleet_size"),
+		Zone:           p.integer("zone"),
 		Slots:          p.integer("extra.call_slots"),
 		MaxHeld:        p.integer("bounds.open_cap"),
 		MaxAttempts:    p.integer("bounds.send_cap"),
--- a/policy/api.go
+++ b/policy/api.go
@@ -55,6 +55,7 @@
 	Kinds          []Kind
 	Customers      []Customer
 	Senders        int           // senders of the fleet; default 1
+	Zone           int           // this sender's; default the first
 	Slots          int           // calls out at once; 0: no limit
 	MaxHeld        int           // messages held at once; 0: no limit
 	MaxAttempts    int           // attempts for a message; 0: no limit
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -171,8 +171,9 @@
 
 // Routes and gates.
 
-// sortRoutes puts routes in their fixed order: listed weight, lower fee, a lot drawn once for each route.
-// Guards against hundreds of senders that all load the first of several equal routes.
+// sortRoutes puts routes in their fixed order: listed weight, lower fee, own zone, a lot drawn once for each
+// route. The zone: a call holds its slot for the way there and back, which is most of it from zone to zone. The
+// lot: guards against hundreds of senders that all load the first of several equal routes.
 func (s *Sender) sortRoutes(d *dest) {
 	less := func(a, b *route) int {
 		switch {
@@ -180,6 +181,8 @@
 			return cmp.Compare(b.Weight, a.Weight)
 		case s.fee(a) != s.fee(b):
 			return cmp.Compare(s.fee(a), s.fee(b))
+		case s.near(a) != s.near(b):
+			return cmp.Compare(s.near(b), s.near(a))
 		case a.lot != b.lot && s.set.Senders > fewSenders:
 			return cmp.Compare(a.lot, b.lot)
 		}
@@ -193,6 +196,14 @@
 	}
 }
 
+// near is 1 for a route in this sender's zone.
+func (s *Sender) near(r *route) int {
+	if r.Zone == s.set.Zone {
+		return 1
+	}
+	return 0
+}
+
 // fee is what a message costs by its route's zone.
 func (s *Sender) fee(r *route) float64 {
 	if r.gate.separate && r.Zone >= 0 && r.Zone < len(s.set.Carriage) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -105,6 +105,23 @@
 	}
 }
 
+// Senders once went to the first of equal routes by name, over the way, while one next door idled.
+func TestOwnZoneGoesFirstAmongEqualRoutes(t *testing.T) {
+	for _, separate := range []int{0, 1} {
+		set := settings()
+		set.Zone = 1
+		d := newDesk(t, set, Listing{Route: "a", Kind: separate}, Listing{Route: "b", Kind: separate, Zone: 1},
+			Listing{Route: "c", Kind: separate, Zone: 1, Weight: -1})
+		if got := goesTo(d.take(1, 0)); got != "b" {
+			t.Errorf("kind %d: message to %q, want the first of the own zone", separate, got)
+		}
+		d.step(Event{Kind: ListChanges, List: []Listing{{Route: "z", Kind: separate, Weight: 2, InService: true}}})
+		if got := goesTo(d.take(2, 0)); got != "z" {
+			t.Errorf("kind %d: message to %q, want the one of more weight", separate, got)
+		}
+	}
+}
+
 // Hundreds of senders once loaded the first of several equal routes while the others idled.
 func TestSendersSpreadOverEqualRoutes(t *testing.T) {
 	first := map[string]int{}
