--- a/policy/policy.go
+++ b/policy/policy.go
@@ -172,8 +172,8 @@
 // Routes and gates.
 
 // sortRoutes puts routes in their fixed order: listed weight, lower fee, own zone, a lot drawn once for each
-// route. The zone: a call holds its slot for the way there and back, which is most of it from zone to zone. The
-// lot: guards against hundreds of senders that all load the first of several equal routes.
+// route. A call holds its slot for the way there and back, and that is most of it from zone to zone. The lot
+// guards against hundreds of senders that all load the first of several equal routes.
 func (s *Sender) sortRoutes(d *dest) {
 	less := func(a, b *route) int {
 		switch {
