--- a/policy/policy.go
+++ b/policy/policy.go
@@ -53,6 +53,7 @@
 	endMargin    = 12 * time.Millisecond   // final answers and time-outs come this long before the deadline
 	roomShare    = 0.9                     // share of the room beyond which held messages are refused
 	gateShare    = 0.4                     // share of the slots that one gate may fill
+	firstCalls   = 2                       // calls out at a route that has not answered yet
 	overShare    = 0.5                     // of its time left: how much later traffic over its share queues
 	lateShare    = 0.5                     // of its time left: how much later a message past its aim queues
 	scanDepth    = 24                      // messages of a destination looked at for one that may go
@@ -297,16 +298,18 @@
 }
 
 // crammed tells whether a route or its gate holds too many slots. Guards against silent or very slow routes
-// that would fill the slots before any time-out tells: while the oldest calls are overdue, only a few may be
-// out. A jam of the whole fleet looks alike; it ends with the first answer.
+// that would fill the slots before any time-out tells: a route that has not answered yet takes only a few
+// calls, and none more while its oldest call is overdue. A jam of the whole fleet looks alike; it ends with
+// the first answer.
 func (s *Sender) crammed(r *route) bool {
 	full := r.gate.out >= max(2, int(gateShare*float64(s.set.Slots)))
-	return s.set.Slots > 0 && (full || s.overdue(r, min(streakSkip, max(1, s.set.Slots/4))))
+	unknown := r.okAt == 0 && len(r.calls) >= firstCalls
+	return s.set.Slots > 0 && (full || unknown || s.overdue(r))
 }
 
-// overdue tells whether n calls of a route are overdue, with none answered that were sent later.
-func (s *Sender) overdue(r *route, n int) bool {
-	return len(r.calls) >= n && s.now > r.calls[n-1].expect && r.okSent < r.calls[n-1].sent
+// overdue tells whether the oldest call of a route is overdue, with none answered that were sent later.
+func (s *Sender) overdue(r *route) bool {
+	return len(r.calls) > 0 && s.now > r.calls[0].expect && r.okSent < r.calls[0].sent
 }
 
 // crowded tells whether a failed connection looks like a full table: it failed at once, at a route that
@@ -665,7 +668,7 @@
 				soonest = min(soonest, at)
 				continue
 			}
-			if r == m.avoid || s.overdue(r, 1) {
+			if r == m.avoid || s.overdue(r) {
 				second = r
 				continue
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -727,6 +727,32 @@
 	}
 }
 
+// Partners that hung, and the endpoints listed in the place of theirs, once held all slots between them.
+func TestSilentRoutesHoldFewSlots(t *testing.T) {
+	set := settings()
+	set.Slots = 40
+	d := newDesk(t, set, Listing{Route: "a", Kind: 1})
+	for id := range uint32(firstCalls) {
+		if acts := d.take(id, 0); !has(acts, Send) {
+			t.Fatalf("message %d: %+v", id, acts)
+		}
+	}
+	if acts := d.take(10, 0); has(acts, Send) {
+		t.Errorf("one call more to a route that has not answered: %+v", acts)
+	}
+	if acts := d.end(0, "a", OK, 10*ms, 0); !has(acts, Send) {
+		t.Errorf("none more to a route that has: %+v", acts)
+	}
+	d.end(1, "a", OK, 10*ms, 0)
+	if acts := d.take(11, 0); !has(acts, Send) {
+		t.Errorf("only so many to a route that has: %+v", acts)
+	}
+	d.now += 5 * time.Second
+	if acts := d.take(12, 0); has(acts, Send) {
+		t.Errorf("one more while the oldest is overdue: %+v", acts)
+	}
+}
+
 func TestRoomIsMadeFromTheLongestQueue(t *testing.T) {
 	set := settings()
 	set.MaxHeld = 10
