--- a/policy/pace.go
+++ b/policy/pace.go
@@ -14,8 +14,7 @@
 	if g.pace > 0 {
 		rate = math.Min(rate, g.pace)
 	}
-	// Counts of few calls a second are rough: halvings must not starve a gate whose limit is known.
-	least := math.Max(paceLeast, paceSure*s.limit(g)/float64(s.set.Senders))
+	least := s.floor(g)
 	g.ceiling, g.under, g.pace = math.Max(rate, least), s.limit(g), math.Max(rate/2, least)
 	g.tokens, g.tokensAt, g.halvedAt, g.guessed = 0, s.now, s.now, false
 	// A clump refused at hundreds of senders comes again spread over several times its own length.
@@ -24,6 +23,12 @@
 	}
 }
 
+// floor is what the pace of a gate does not fall below. Counts of few calls a second are rough: halvings must not
+// starve a gate whose limit is known.
+func (s *Sender) floor(g *gate) float64 {
+	return math.Max(paceLeast, paceSure*s.limit(g)/float64(s.set.Senders))
+}
+
 // creep lets the pace grow with a success, slowly near the rate that was refused last.
 func (s *Sender) creep(g *gate) {
 	if g.pace == 0 {
@@ -34,9 +39,11 @@
 		return
 	}
 	growth, near := 1+paceCreep, paceNear*g.ceiling
-	// A limit may have been lowered for a while: what was refused then says less once a higher one is told.
+	// A limit may have been lowered for a while: what was refused then says less once a higher one is told, and
+	// the floor has risen with it.
 	if l := s.limit(g); g.under > 0 && l > reportNoise*g.under {
 		near *= l / g.under
+		g.pace = math.Max(g.pace, s.floor(g))
 	}
 	if g.ceiling > 0 && g.pace > near {
 		growth = 1 + paceCrawl
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -266,6 +266,22 @@
 	}
 }
 
+// Such a pace also stayed under the floor of the higher limit until it had crept there.
+func TestPaceRisesToTheFloorOfAHigherLimit(t *testing.T) {
+	set := settings()
+	set.NoWeights = true
+	d := newDesk(t, set, Listing{Route: "a"})
+	r := d.s.routes["a"]
+	d.s.report(r, Report{Told: true, Limit: 1})
+	d.take(0, 0)
+	d.end(0, "a", Full, 100*ms, 0)
+	d.s.report(r, Report{Told: true, Limit: 40})
+	d.s.creep(r.gate)
+	if least := 40 * paceSure; r.gate.pace < least {
+		t.Errorf("pace %v after a delivery, want %v or more", r.gate.pace, least)
+	}
+}
+
 func TestFinalAnswers(t *testing.T) {
 	for _, c := range []struct {
 		class   int
