Answer ready and the figures at a second address

The figures are counters that the calls and the loop write and gauges that the loop publishes, so that no caller waits for the loop. Tests: admin_test.go; without the counting in attemptEnded and the table's bound they fail.

--- /dev/null
+++ b/internal/relay/admin.go
@@ -0,0 +1,107 @@
+package relay
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/wal"
+)
+
+// adminMost bounds the connections of operators' callers. Mute ones make way first, as clients' do.
+const adminMost = 24
+
+// figures are what operators read. The loop and the calls write them, the second address reads them: no reader waits
+// for either.
+type figures struct {
+	names                    []string
+	classes                  []classFigures
+	current, size, unhealthy atomic.Int64
+}
+
+// classFigures count the messages of a class, each once, at its first final outcome, and its sends.
+type classFigures struct{ answered, deferred, errored, sends atomic.Int64 }
+
+func newFigures(classes []string) *figures {
+	return &figures{names: classes, classes: make([]classFigures, len(classes))}
+}
+
+// of are the figures of a class; those of a class that is no more go nowhere.
+func (f *figures) of(class int) *classFigures {
+	if class < 0 || class >= len(f.classes) {
+		return &classFigures{}
+	}
+	return &f.classes[class]
+}
+
+// first tells whether m has its first final outcome with this, which alone is counted.
+func (m *message) first() bool {
+	was := m.told
+	m.told = true
+	return !was
+}
+
+// ended counts a message that is refused or has failed.
+func (f *figures) ended(m *message, final wal.Final) {
+	switch c := f.of(m.Class); {
+	case !m.first():
+	case final.Deferred:
+		c.deferred.Add(1)
+	default:
+		c.errored.Add(1)
+	}
+}
+
+func (f *figures) String() string {
+	var b strings.Builder
+	for i, name := range f.names {
+		c := &f.classes[i]
+		fmt.Fprintf(&b, "relay.answered.%s:%d|c\n", name, c.answered.Load())
+		fmt.Fprintf(&b, "relay.deferred.%s:%d|c\n", name, c.deferred.Load())
+		fmt.Fprintf(&b, "relay.errored.%s:%d|c\n", name, c.errored.Load())
+		fmt.Fprintf(&b, "relay.sends.%s:%d|c\n", name, c.sends.Load())
+	}
+	fmt.Fprintf(&b, "relay.current:%d|g\n", f.current.Load())
+	fmt.Fprintf(&b, "relay.cluster_size:%d|g\n", f.size.Load())
+	fmt.Fprintf(&b, "relay.cluster_unhealthy:%d|g", f.unhealthy.Load())
+	return b.String()
+}
+
+// ready tells whether this process serves clients.
+func (r *Relay) ready() bool { return r.serving.Load() && r.listed.Load() && !r.ending.Load() }
+
+// serveAdmin lets operators' callers in until the returned function is called. Each connection has one call.
+func (r *Relay) serveAdmin(l net.Listener) (end func()) {
+	table := newClients(r.log, adminMost, r.admin)
+	table.ending = true
+	go table.run(l)
+	return func() { l.Close(); table.close(time.Now()) }
+}
+
+// publish brings the gauges up to date.
+func (r *Relay) publish() {
+	r.figures.current.Store(int64(r.held))
+	r.figures.size.Store(int64(len(r.routes)))
+	r.figures.unhealthy.Store(int64(r.sender.Avoided(r.now())))
+}
+
+// admin answers a call at the second address.
+func (r *Relay) admin(_ *client, req *http.Request) answer {
+	switch path := req.URL.Path; path {
+	case "/api/ready", "/api/telemetry":
+		if req.Method != http.MethodGet {
+			return answer{status: http.StatusMethodNotAllowed, text: "GET only"}
+		}
+		if path == "/api/telemetry" {
+			return answer{status: http.StatusOK, text: r.figures.String()}
+		}
+		if !r.ready() {
+			return answer{status: http.StatusServiceUnavailable, text: "not serving"}
+		}
+		return answer{status: http.StatusOK, text: "serving"}
+	}
+	return answer{status: http.StatusNotFound, text: "no such call"}
+}
--- /dev/null
+++ b/internal/relay/admin_test.go
@@ -0,0 +1,136 @@
+package relay
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// adminOf lets operators' callers in.
+func adminOf(t *testing.T, r *Relay) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.serveAdmin(l))
+	return l.Addr().String()
+}
+
+// ask makes a call at the second address and returns its answer's status and text.
+func ask(t *testing.T, addr, method, path, body string) (int, string) {
+	t.Helper()
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body)
+	res := read(t, bufio.NewReader(dial(t, addr, text)))
+	got, err := io.ReadAll(res.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res.StatusCode, string(got)
+}
+
+func TestTheSecondAddressAnswers(t *testing.T) {
+	r := newTestRelay(t)
+	addr := adminOf(t, r)
+	// Nobody runs the loop here: no answer may wait for it.
+	for _, c := range []struct {
+		method, path string
+		want         int
+	}{
+		{"GET", "/api/ready", 503}, {"GET", "/api/telemetry", 200}, {"GET", "/", 404}, {"GET", "/api", 404},
+		{"POST", "/api/ready", 405}, {"POST", "/api/telemetry", 405}, {"POST", "/order", 404},
+	} {
+		if got, _ := ask(t, addr, c.method, c.path, ""); got != c.want {
+			t.Errorf("%s %s: %d, want %d", c.method, c.path, got, c.want)
+		}
+	}
+	r.serving.Store(true)
+	if got, _ := ask(t, addr, "GET", "/api/ready", ""); got != 200 {
+		t.Errorf("ready while serving: %d", got)
+	}
+	r.ending.Store(true)
+	if got, _ := ask(t, addr, "GET", "/api/ready", ""); got != 503 {
+		t.Errorf("ready while ending: %d", got)
+	}
+}
+
+func TestMuteCallersCrowdNobodyOut(t *testing.T) {
+	r := newTestRelay(t)
+	addr := adminOf(t, r)
+	for i := range 4 * adminMost {
+		dial(t, addr, []string{"", "GET /api/re"}[i%2])
+	}
+	if got, _ := ask(t, addr, "GET", "/api/telemetry", ""); got != 200 {
+		t.Errorf("with mute callers about: %d", got)
+	}
+}
+
+// figure returns the line of a figure, without its name.
+func (r *Relay) figure(name string) string {
+	for line := range strings.Lines(r.figures.String()) {
+		if value, ok := strings.CutPrefix(strings.TrimSpace(line), "relay."+name+":"); ok {
+			return value
+		}
+	}
+	return "none"
+}
+
+func (r *Relay) wantFigures(t *testing.T, when string, want map[string]string) {
+	t.Helper()
+	r.publish()
+	for name, value := range want {
+		if got := r.figure(name); got != value {
+			t.Errorf("%s: %s is %s, want %s", when, name, got, value)
+		}
+	}
+}
+
+func TestEachEndIsCountedOnce(t *testing.T) {
+	r := newTestRelay(t)
+	r.wantFigures(t, "at the start", map[string]string{"answered.order": "0|c", "deferred.order": "0|c", "errored.order": "0|c",
+		"sends.order": "0|c", "current": "0|g", "cluster_size": "1|g", "cluster_unhealthy": "0|g"})
+	in := newHandIn("m1", 7, 5*time.Second)
+	decide(r, in)
+	r.wantFigures(t, "once taken", map[string]string{"current": "1|g"})
+	m := r.msgs[in.m.ID]
+	c := &call{route: "s-1"}
+	a := &attempt{call: c, m: m, n: 0}
+	m.out++
+	r.attemptEnded(nil, a, result{outcome: policy.OK})
+	r.attemptEnded(nil, a, result{outcome: policy.OK}) // the rest of its call
+	r.wantFigures(t, "once delivered", map[string]string{"answered.order": "1|c", "errored.order": "0|c", "current": "0|g"})
+
+	in = newHandIn("m2", 7, 5*time.Second)
+	decide(r, in)
+	for range 2 {
+		r.carryOut([]policy.Action{{Kind: policy.Fail, ID: in.m.ID}}, nil)
+	}
+	r.wantFigures(t, "once failed", map[string]string{"errored.order": "1|c", "current": "0|g"})
+
+	r.cfg.Settings.MaxHeld = 1
+	r.held = 1
+	decide(r, newHandIn("m3", 7, 5*time.Second))
+	r.wantFigures(t, "once turned away", map[string]string{"deferred.order": "1|c", "errored.order": "1|c", "answered.order": "1|c"})
+}
+
+func TestACallWrittenWholeIsCounted(t *testing.T) {
+	addr, _ := rawHost(t, func(_ int, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	h := testHosts(t, testConfig())
+	var sent int
+	h.sent = func(c *call) { sent += len(c.attempts) }
+	h.do(t.Context(), newCall(addr, "m1"), yes)
+	h.do(t.Context(), newCall("127.0.0.1:1", "m2"), yes) // refused: nothing was written
+	if sent != 1 {
+		t.Errorf("%d messages counted as written, want 1", sent)
+	}
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -23,6 +23,7 @@
 	Name      string
 	Listen    string // where clients connect
 	Discovery string // address of discovery's agent
+	Admin     string // where operators' calls come; empty: nowhere
 	StateDir  string // the folder that outlasts the process
 	Seed      uint64
 	Limits    Limits
@@ -81,6 +82,7 @@
 	}
 	for name, field := range map[string]*string{
 		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery, "ROUTER_STATE": &c.StateDir,
+		"ROUTER_ADMIN_ADDR": &c.Admin,
 	} {
 		if v := getenv(name); v != "" {
 			*field = v
@@ -97,6 +99,7 @@
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
+		Admin     string          `json:"admin_addr"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
 		Known     json.RawMessage `json:"known"`
@@ -136,7 +139,7 @@
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
 	c := Config{
-		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Limits: file.Limits, Settings: set,
+		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Admin: file.Admin, Limits: file.Limits, Settings: set,
 		Zones: own.Zones, Kinds: own.Kinds, MayDuplicate: own.Bounds.MayDuplicate,
 		ConnectTimeout: millis(own.Bounds.ConnectTimeoutMS), KeepAlive: millis(own.Bounds.KeepAliveMS),
 		Tick: min(millis(own.TickMS), tickMost),
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -40,6 +40,7 @@
 type hosts struct {
 	*pool
 	reports []string
+	sent    func(*call) // told of each call that is written whole; may be nil
 }
 
 // call is one request to a host, with one message or several.
@@ -106,6 +107,9 @@
 	began := time.Now()
 	err := writeRequest(conn, req)
 	written := err == nil
+	if written && h.sent != nil {
+		h.sent(c)
+	}
 	several := len(c.attempts) > 1
 	a := readAnswer(conn, req, several) // there may be an answer though not all could be written
 	if stop() && a.err == nil && written {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -23,7 +23,8 @@
 
 const (
 	eventRoom = 1024
-	batchMost = 512 // events in a step
+	batchMost = 512                    // events in a step
+	gaugesFor = 200 * time.Millisecond // between steps the gauges are brought up to date so often
 
 	// clockStart keeps the module's clock away from 0, which it takes for never.
 	clockStart = time.Second
@@ -66,6 +67,7 @@
 	out   int  // attempts without an outcome
 	ended bool // the module has done with it
 
+	told   bool     // its outcome is counted, or need not be
 	fresh  bool     // taken on in this step, which may yet refuse it
 	shared bool     // others were told that it is taken on, too: it cannot be withdrawn
 	next   *message // withdrawn and handed in once more: what it goes on as
@@ -82,8 +84,10 @@
 	events  chan any
 	over    chan struct{} // closed when the loop has ended
 	idle    chan struct{} // closed when the relay is stopping and nothing is left to wait for
-	listed  atomic.Bool   // it has recovered and holds a list
-	ending  atomic.Bool   // SIGTERM came
+	figures *figures
+	serving atomic.Bool // it has recovered and lets clients in
+	listed  atomic.Bool // it holds a list
+	ending  atomic.Bool // SIGTERM came
 	calls   sync.WaitGroup
 
 	// Owned by the loop.
@@ -128,7 +132,12 @@
 		events: make(chan any, eventRoom), over: make(chan struct{}), idle: make(chan struct{}),
 		started: time.Now().Add(-clockStart), sender: sender, wal: w,
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
-		cells: map[int]bool{},
+		cells: map[int]bool{}, figures: newFigures(cfg.Classes),
+	}
+	r.hosts.sent = func(c *call) {
+		for _, a := range c.attempts {
+			r.figures.of(a.m.Class).sends.Add(1)
+		}
 	}
 	// Clients hold a third of the descriptors with their requests; more is for those that are slow to leave.
 	r.clients = newClients(log, cfg.Limits.Sockets*9/20, r.request)
@@ -139,6 +148,13 @@
 
 // Run serves until ctx ends, and then ends in order: see endBy.
 func (r *Relay) Run(ctx context.Context) error {
+	if r.cfg.Admin != "" {
+		l, err := net.Listen("tcp", r.cfg.Admin)
+		if err != nil {
+			return errors.Join(fmt.Errorf("relay: admin: %w", err), r.wal.Close())
+		}
+		defer r.serveAdmin(l)()
+	}
 	listener, err := net.Listen("tcp", r.cfg.Listen)
 	if err != nil {
 		return errors.Join(fmt.Errorf("relay: %w", err), r.wal.Close())
@@ -158,6 +174,7 @@
 	go list.run(work)
 
 	go r.clients.run(listener)
+	r.serving.Store(true)
 	r.log.Info("serving", "name", r.cfg.Name, "listen", listener.Addr().String())
 	<-ctx.Done()
 	r.shutDown(listener)
@@ -229,11 +246,12 @@
 			m.ended = true
 			r.left = append(r.left, m)
 		case w.Final != nil:
-			m.ended = true
+			m.ended, m.told = true, true
 			r.notify(m)
 		case found.Damaged:
 			// What it has sent may be missing from the log: nothing can be promised.
 			m.ended = true
+			r.figures.ended(m, wal.Final{})
 			r.wal.Decide(w, wal.Final{})
 			r.notify(m)
 		default:
@@ -272,6 +290,8 @@
 	defer close(r.over)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	gauges := time.NewTicker(gaugesFor)
+	defer gauges.Stop()
 	var batch []any
 	var last time.Time
 	for {
@@ -283,6 +303,9 @@
 		case e := <-r.events:
 			batch = append(batch, e)
 		case <-timer.C:
+		case <-gauges.C:
+			r.publish() // a skip may have run out
+			continue
 		}
 		if rest := r.cfg.Tick - time.Since(last); rest > 0 {
 			time.Sleep(rest)
@@ -378,6 +401,7 @@
 		r.idled = true
 		close(r.idle)
 	}
+	r.publish()
 }
 
 // owesNothing tells whether all is ended, and all outcomes are in.
@@ -410,6 +434,7 @@
 			in.reply <- bad("no such destination: %d", in.m.Dest)
 			continue
 		case r.cfg.Settings.MaxHeld > 0 && r.held >= r.cfg.Settings.MaxHeld:
+			r.figures.of(in.m.Class).deferred.Add(1)
 			in.reply <- answer{status: http.StatusServiceUnavailable, again: policy.RetryAdvice}
 			continue
 		}
@@ -445,6 +470,7 @@
 	for _, in := range waiting {
 		if m := in.as; m.Message == in.m {
 			r.held--
+			r.figures.of(m.Class).deferred.Add(1)
 			delete(r.msgs, m.ID)
 			delete(r.traces, m.Trace)
 		}
@@ -485,6 +511,7 @@
 		return evs
 	}
 	r.done(m)
+	m.told = true // its client hands it in anew, and that one counts
 	r.letGo(m)
 	return append(evs, policy.Event{Kind: policy.Withdrawn, ID: id})
 }
@@ -504,6 +531,9 @@
 // delivered ends a message that was delivered after all, and what it goes on as.
 func (r *Relay) delivered(evs []policy.Event, m *message) []policy.Event {
 	for ; m != nil; m = m.next {
+		if m.first() {
+			r.figures.of(m.Class).answered.Add(1)
+		}
 		if !m.ended {
 			evs = append(evs, policy.Event{Kind: policy.Withdrawn, ID: m.ID})
 		}
@@ -557,6 +587,9 @@
 	case policy.Full, policy.ConnectFailed, policy.Moot:
 		r.wal.NeverRan(m.Message, a.n)
 	}
+	if ok && m.first() {
+		r.figures.of(m.Class).answered.Add(1)
+	}
 	if ok || res.gone {
 		r.done(m)
 		r.wal.End(m.Message)
@@ -658,6 +691,7 @@
 			}
 			r.done(m)
 			final := wal.Final{Deferred: a.Kind == policy.Refuse, Again: a.Delay}
+			r.figures.ended(m, final)
 			if _, ok := answers[a.ID]; ok {
 				answers[a.ID] = finalAnswer(final)
 				r.letGo(m)
--- a/policy/resume.go
+++ b/policy/resume.go
@@ -40,3 +40,17 @@
 	r := s.routes[route]
 	return r != nil && r.InService && now >= r.gate.wait
 }
+
+// Avoided is how many listed routes take nothing for now, by choice.
+func (s *Sender) Avoided(now time.Duration) (n int) {
+	for _, d := range s.order {
+		for _, g := range d.gates {
+			for _, r := range g.routes {
+				if r.down || now < r.skipUntil {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
