Hand the relay over to a process that is started beside it

The old process passes on the listening socket, the lock of the log, the list, what the module knows of each route, and the calls that are out, whose outcomes follow. The module books those calls as its own, so that slots, paces and waits hold. The crash was the second listen on one address.

--- a/cmd/cherrytrestle/main.go
+++ b/cmd/cherrytrestle/main.go
@@ -37,7 +37,10 @@
 	}
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * heapShare * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
-	r, err := relay.New(cfg, slog.Default())
+	r, err := relay.New(ctx, cfg, slog.Default())
+	if ctx.Err() != nil {
+		return nil
+	}
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
 	}
--- a/cmd/cherrytrestle/main_test.go
+++ b/cmd/cherrytrestle/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +19,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"onyxroad.dev/onyxroad/internal/wal"
 )
 
 // The tests run the relay as a process of its own, this binary under another variable, so that signals and
@@ -251,6 +254,13 @@
 }
 
 func (r *relayProcess) start(p *platform) {
+	r.t.Helper()
+	r.launch(p)
+	eventually(r.t, "ready", func() bool { return r.says("http://" + r.addr + "/_health") })
+}
+
+// launch starts the process.
+func (r *relayProcess) launch(p *platform, env ...string) {
 	r.t.Helper()
 	log, err := os.OpenFile(filepath.Join(r.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(r.t, err)
@@ -260,14 +270,32 @@
 	r.cmd.Env = append(os.Environ(), "CHERRYTRESTLE_TEST_RELAY=1", "ROUTER_LISTEN="+r.addr,
 		"ROUTER_DISCOVERY="+p.Listener.Addr().String(), "ROUTER_STATE="+filepath.Join(r.dir, "state"),
 		"ROUTER_CONFIG="+filepath.Join(r.dir, "config.json"))
+	r.cmd.Env = append(r.cmd.Env, env...)
 	must(r.t, r.cmd.Start())
-	eventually(r.t, "ready", func() bool {
-		res, err := r.client.Get("http://" + r.addr + "/_health")
-		if err == nil {
-			res.Body.Close()
-		}
-		return err == nil && res.StatusCode == http.StatusOK
-	})
+}
+
+// says tells whether a GET is answered with 200.
+func (r *relayProcess) says(url string) bool {
+	res, err := r.client.Get(url)
+	if err == nil {
+		res.Body.Close()
+	}
+	return err == nil && res.StatusCode == http.StatusOK
+}
+
+// beside starts a second process beside the one that serves, waits until it serves, and returns the old one and the
+// new one's second address.
+func (r *relayProcess) beside(p *platform) (old *exec.Cmd, admin string) {
+	r.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must(r.t, err)
+	admin = l.Addr().String()
+	l.Close()
+	old = r.cmd
+	r.t.Cleanup(func() { old.Process.Kill(); old.Wait() })
+	r.launch(p, "ROUTER_ADMIN_ADDR="+admin)
+	eventually(r.t, "the new process serves", func() bool { return r.says("http://" + admin + "/api/ready") })
+	return old, "http://" + admin
 }
 
 func (r *relayProcess) kill() {
@@ -752,3 +780,110 @@
 		t.Errorf("ended: %v", err)
 	}
 }
+
+// withheld answers all but the message "held", which waits for release.
+func withheld(release <-chan struct{}) func(http.ResponseWriter, *http.Request, []string) {
+	return func(w http.ResponseWriter, r *http.Request, ids []string) {
+		if ids[0] == "held" {
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+		}
+	}
+}
+
+// figures returns what the second address tells.
+func (r *relayProcess) figures(admin string) string {
+	res, err := r.client.Get(admin + "/api/telemetry")
+	must(r.t, err)
+	defer res.Body.Close()
+	text, err := io.ReadAll(res.Body)
+	must(r.t, err)
+	return string(text)
+}
+
+func TestANewProcessTakesOver(t *testing.T) {
+	release := make(chan struct{})
+	p, h := newPlatform(t), newHost(t, withheld(release))
+	r := newRelay(t, p, []member{listed("s-1", h.addr(), "a", "gateway", "ready")}, nil)
+	r.take("held", 10*time.Second)
+	eventually(t, "its call is out", func() bool { return h.count("held") == 1 })
+	old, admin := r.beside(p)
+
+	r.take("kept", 10*time.Second) // on a connection that the old process holds
+	fresh := &http.Client{Timeout: patience, Transport: &http.Transport{}}
+	defer fresh.CloseIdleConnections()
+	for _, id := range []string{"held", "new"} {
+		res, err := fresh.Do(r.request(id, 10*time.Second, nil))
+		must(t, err)
+		res.Body.Close()
+		if res.StatusCode != http.StatusAccepted {
+			t.Errorf("%s at the new process: status %d", id, res.StatusCode)
+		}
+	}
+	eventually(t, "both delivered", func() bool { return h.count("kept") == 1 && h.count("new") == 1 })
+	eventually(t, "only the call that is out is held", func() bool {
+		text := r.figures(admin)
+		return strings.Contains(text, "relay.answered.order:2|c") && strings.Contains(text, "relay.current:1|g")
+	})
+	close(release)
+	eventually(t, "its outcome is told", func() bool { return strings.Contains(r.figures(admin), "relay.current:0|g") })
+	must(t, old.Process.Signal(syscall.SIGTERM))
+	if err := old.Wait(); err != nil {
+		t.Errorf("the old process: %v", err)
+	}
+	r.take("after", 10*time.Second)
+	eventually(t, "delivered after all", func() bool { return h.count("after") == 1 })
+	if n := h.count("held"); n != 1 || p.final("held") != nil {
+		t.Errorf("the call that was out: sent %d times, notice %v", n, p.final("held"))
+	}
+}
+
+// What a process had out when it was killed may have run. Its message is the new one's, and must not run twice.
+func TestTheOldProcessIsKilledAfterTheHandover(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	p, h := newPlatform(t), newHost(t, withheld(release))
+	r := newRelay(t, p, []member{listed("s-1", h.addr(), "a", "gateway", "ready")}, func(settings map[string]any) {
+		service := settings["services"].([]map[string]any)[0]
+		service["semantics"] = "at_most_once"
+		delete(service, "group")
+		delete(service, "repeat_window_ms")
+	})
+	r.take("held", 10*time.Second)
+	eventually(t, "its call is out", func() bool { return h.count("held") == 1 })
+	old, _ := r.beside(p)
+	must(t, old.Process.Kill())
+	eventually(t, "the notice", func() bool { return p.final("held") != nil })
+	if got := p.final("held")["status"]; got != "undeliverable" || h.count("held") != 1 {
+		t.Errorf("ended as %v after %d sends", got, h.count("held"))
+	}
+	r.take("after", 10*time.Second)
+	eventually(t, "delivered", func() bool { return h.count("after") == 1 })
+}
+
+// A process that asks for the relay's place and dies before it has the log changes nothing.
+func TestANewProcessThatDiesChangesNothing(t *testing.T) {
+	release := make(chan struct{})
+	p, h := newPlatform(t), newHost(t, withheld(release))
+	r := newRelay(t, p, []member{listed("s-1", h.addr(), "a", "gateway", "ready")}, nil)
+	r.take("held", 10*time.Second)
+	eventually(t, "its call is out", func() bool { return h.count("held") == 1 })
+	state := filepath.Join(r.dir, "state")
+	c, err := net.Dial("unix", filepath.Join(state, "handover.sock"))
+	must(t, err)
+	_, err = io.ReadFull(c, make([]byte, 10)) // some of what is handed over
+	must(t, err)
+	c.Close()
+	r.take("m1", 10*time.Second)
+	eventually(t, "delivered", func() bool { return h.count("m1") == 1 })
+	if lock, err := wal.Lock(state); !errors.Is(err, wal.ErrHeld) {
+		t.Errorf("the log is free: %v, %v", lock, err)
+	}
+	close(release)
+	must(t, r.terminate())
+	if h.count("held") != 1 || p.final("held") != nil {
+		t.Errorf("the call that was out: sent %d times, notice %v", h.count("held"), p.final("held"))
+	}
+}
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -186,6 +186,21 @@
 	return !c.gone
 }
 
+// bound changes how many connections may be held.
+func (s *clients) bound(most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most, s.roomy = most, most*3/8
+}
+
+// lastAnswers has each connection closed with its next answer. Idle ones stay open until then: a close could cross a
+// request.
+func (s *clients) lastAnswers() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ending = true
+}
+
 // drain closes idle connections and has the others closed with their next answer.
 func (s *clients) drain() {
 	s.mu.Lock()
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -293,7 +293,7 @@
 		if again == nil || again.ended || again.ID == m.ID {
 			t.Fatalf("restart %d: %+v", restart, again)
 		}
-		e := r.resumed(again).Resumed
+		e := r.resumed(again, nil).Resumed
 		if e.Attempts != 1 || !e.Ran || e.RanZone != 1 || e.RanAgo < time.Second || !again.MayRun[0].At.Equal(sent.At) {
 			t.Errorf("restart %d: resumed as %+v, may have run %+v", restart, e, again.MayRun)
 		}
@@ -306,7 +306,8 @@
 	if err := old.wal.Flush(); err != nil {
 		t.Fatal(err)
 	}
-	r, err := New(old.cfg, quiet())
+	old.lock.Close() // as its process ends
+	r, err := New(t.Context(), old.cfg, quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/relay/handover.go
@@ -0,0 +1,530 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// Handing over to a new process, which asks for it on a Unix socket in the state folder. Together the two are one
+// relay, and all has one owner at any time:
+//
+//	phase           listener           log and decisions     calls out
+//	old alone       old                old                   old
+//	handing over    both hold it       nobody                old
+//	handed over     new                new                   each its own; the old tells the new its outcomes
+//	new alone       new                new                   new; what the old has not told of may have run
+//
+// The lock on the log decides. The old process gives it up with all that it knows, and takes it again if the new one
+// does not say that it has it. What reaches the old process later is passed on.
+
+const (
+	linkName    = "handover.sock"
+	linkFor     = 2 * time.Second // for each side's part in handing over
+	linkWriteBy = time.Second     // for a frame
+	retakeFor   = 5 * time.Second // to have the lock again from a process that did not go on
+	lockPause   = 20 * time.Millisecond
+	asideMost   = 10 * time.Second // a process that has handed over stays no longer, SIGTERM or not
+)
+
+// estate is what a process that hands over tells besides the log.
+type estate struct {
+	Began    time.Time // the zero of the module's clock
+	LastID   uint32
+	Members  []member
+	Memories []policy.Memory
+	Out      []outCall
+}
+
+// outCall is an attempt that is out. Cut: its message was told of a time-out, and its call goes on for others.
+type outCall struct {
+	policy.Out
+	ID  uint32
+	Cut bool
+}
+
+// frame is what goes over a link once the new process has the log: one of these.
+type frame struct {
+	Mine  bool          `json:",omitempty"` // new to old: it has the log
+	Hand  *passed       `json:",omitempty"` // old to new
+	Leave uint32        `json:",omitempty"` // old to new: the client of this message has left
+	End   *passedEnd    `json:",omitempty"` // old to new
+	Reply *passedAnswer `json:",omitempty"` // new to old
+}
+
+// passed is a message that was handed in at the old process.
+type passed struct {
+	Seq     uint32
+	Message *wal.Message
+	Body    []byte
+}
+
+type passedAnswer struct {
+	Seq, ID uint32
+	Status  int
+	Again   time.Duration
+	Text    string
+}
+
+// passedEnd is an attempt's outcome.
+type passedEnd struct {
+	ID      uint32
+	N       int
+	Cut     bool // its call goes on
+	Outcome policy.Outcome
+	Gone    bool
+	Wait    time.Duration
+	Report  policy.Report
+	Took    time.Duration
+}
+
+// outKey names an attempt; message numbers are the log's, and the same on both sides.
+type outKey struct {
+	id uint32
+	n  int
+}
+
+// The loop's events of a hand-over, besides passedEnd.
+type (
+	takeover struct{ link *link } // a new process asks for this one's place
+	alone    struct{}             // the old process has ended
+)
+
+// turnedBack answers a hand-in that cannot be passed on.
+var turnedBack = answer{status: http.StatusServiceUnavailable, again: policy.RetryAdvice}
+
+// link joins the two processes.
+type link struct {
+	*net.UnixConn
+	dec *json.Decoder
+
+	mu      sync.Mutex // guards writing, and what follows
+	enc     *json.Encoder
+	asked   map[uint32]*handIn
+	lastSeq uint32
+	over    bool
+}
+
+func newLink(c *net.UnixConn) *link {
+	return &link{UnixConn: c, dec: json.NewDecoder(c), enc: json.NewEncoder(c), asked: map[uint32]*handIn{}}
+}
+
+func (l *link) send(v any) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.SetWriteDeadline(time.Now().Add(linkWriteBy))
+	return l.enc.Encode(v)
+}
+
+// The old process's side.
+
+// heirs lets a new process ask for the relay's place until the returned function is called. Without the socket, one
+// that comes waits for the log until this one ends.
+func (r *Relay) heirs() (end func()) {
+	path := filepath.Join(r.cfg.StateDir, linkName)
+	os.Remove(path) // left by a process before: this one has the log
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		r.log.Warn("no hand-over to a new process", "err", err)
+		return func() {}
+	}
+	l.SetUnlinkOnClose(false) // by then the name may be another's
+	go func() {
+		for {
+			c, err := l.AcceptUnix()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			} else if err != nil {
+				time.Sleep(lockPause)
+				continue
+			}
+			if !r.post(takeover{newLink(c)}) {
+				c.Close()
+			}
+		}
+	}()
+	return func() { l.Close() }
+}
+
+// handOver gives a new process all that it needs. Where that does not come to take it, all stays as it was.
+func (r *Relay) handOver(l *link) {
+	if r.stopping || r.noSends || r.heir != nil || r.listener == nil {
+		l.Close()
+		return
+	}
+	began := time.Now()
+	err := r.wal.Flush()
+	if err == nil {
+		err = r.offer(l)
+	}
+	if err != nil {
+		l.Close()
+		for end := time.Now().Add(retakeFor); r.lock == nil; time.Sleep(lockPause) {
+			if r.lock, err = wal.Lock(r.cfg.StateDir); err != nil && time.Now().After(end) {
+				// Another has the log and does not answer: what it owes is there. Writing to it would spoil it.
+				panic(fmt.Sprintf("relay: the log is lost to another process: %v", err))
+			}
+		}
+		r.log.Warn("not handed over", "err", err)
+		return
+	}
+	r.heir, r.held = l, 0
+	go r.answers(l)
+	close(r.handed)
+	r.log.Info("handed over", "calls", r.out, "took", time.Since(began))
+}
+
+// offer passes on the listener, what this process knows, and the lock, and waits until the other has it.
+func (r *Relay) offer(l *link) error {
+	l.SetDeadline(time.Now().Add(linkFor))
+	raw, err := r.listener.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var sendErr error
+	if err := raw.Control(func(fd uintptr) {
+		_, _, sendErr = l.WriteMsgUnix([]byte{'L'}, syscall.UnixRights(int(fd)), nil)
+	}); err != nil || sendErr != nil {
+		return errors.Join(err, sendErr)
+	}
+	r.lock.Close()
+	r.lock = nil
+	if err := l.send(r.estate()); err != nil {
+		return err
+	}
+	l.SetReadDeadline(time.Now().Add(linkFor))
+	var f frame
+	if err := l.dec.Decode(&f); err != nil {
+		return err
+	}
+	l.SetDeadline(time.Time{})
+	return nil
+}
+
+func (r *Relay) estate() estate {
+	e := estate{Began: r.started, LastID: r.lastID, Memories: r.sender.Memories()}
+	for _, t := range r.routes {
+		cell, state := t.Destination, "draining"
+		if t.InService {
+			state = "ready"
+		}
+		e.Members = append(e.Members, member{
+			ID: t.Route, Addr: t.addr, Zone: r.cfg.Zones[t.Zone], Kind: r.cfg.Kinds[t.Kind], Cell: &cell, State: state, Weight: t.Weight,
+		})
+	}
+	number := uint32(0)
+	for c := range r.flying {
+		number++
+		for _, a := range c.attempts {
+			e.Out = append(e.Out, outCall{policy.Out{Call: number, Attempt: a.n, Route: c.route, Sent: c.sent.Sub(r.started),
+				Cut: a.until.Sub(r.started)}, a.m.ID, a.over})
+		}
+	}
+	slices.SortFunc(e.Out, func(a, b outCall) int { return cmp.Or(cmp.Compare(a.Sent, b.Sent), int(int64(a.ID)-int64(b.ID))) })
+	return e
+}
+
+// passOn is a step of a process that has handed over.
+func (r *Relay) passOn(batch []any) {
+	for _, e := range batch {
+		switch e := e.(type) {
+		case *handIn:
+			r.heir.ask(e)
+		case withdrawal:
+			r.heir.send(frame{Leave: e.id})
+		case *callEnd:
+			r.out--
+			delete(r.flying, e.c)
+			for i, a := range e.c.attempts {
+				r.tellEnd(a, e.results[i], false)
+			}
+		case cutOff:
+			if !e.a.over {
+				r.tellEnd(e.a, result{outcome: policy.Timeout, took: time.Since(e.a.sent)}, true)
+			}
+		case clearance:
+			e.reply <- false // it goes back, and the new process decides anew
+		case takeover:
+			e.link.Close()
+		case stopping:
+			r.stopping = true
+		}
+	}
+	r.publish()
+	if r.stopping && !r.idled && r.out == 0 {
+		r.idled = true
+		close(r.idle)
+	}
+}
+
+func (r *Relay) tellEnd(a *attempt, res result, cut bool) {
+	a.over = a.over || cut
+	if a.timer != nil && !cut {
+		a.timer.Stop()
+	}
+	if res.outcome == policy.OK && a.m.first() {
+		r.figures.of(a.m.Class).answered.Add(1)
+	}
+	r.heir.send(frame{End: &passedEnd{a.m.ID, a.n, cut, res.outcome, res.gone, res.wait, res.report, res.took}})
+}
+
+// ask passes a hand-in on. Its answer comes by answers.
+func (l *link) ask(in *handIn) {
+	l.mu.Lock()
+	l.lastSeq++
+	seq := l.lastSeq
+	if l.over {
+		l.mu.Unlock()
+		in.reply <- turnedBack
+		return
+	}
+	l.asked[seq] = in
+	l.mu.Unlock()
+	if err := l.send(frame{Hand: &passed{seq, in.m, in.m.Body}}); err != nil {
+		l.reply(passedAnswer{Seq: seq, Status: turnedBack.status, Again: turnedBack.again})
+	}
+}
+
+// reply answers a hand-in, once.
+func (l *link) reply(a passedAnswer) {
+	l.mu.Lock()
+	in := l.asked[a.Seq]
+	delete(l.asked, a.Seq)
+	l.mu.Unlock()
+	if in != nil {
+		in.m.ID = a.ID
+		in.reply <- answer{a.Status, a.Again, a.Text}
+	}
+}
+
+// answers takes the new process's answers until the link ends.
+func (r *Relay) answers(l *link) {
+	for {
+		var f frame
+		if err := l.dec.Decode(&f); err != nil {
+			break
+		}
+		if f.Reply != nil {
+			l.reply(*f.Reply)
+		}
+	}
+	l.mu.Lock()
+	l.over = true
+	left := l.asked
+	l.asked = map[uint32]*handIn{}
+	l.mu.Unlock()
+	for _, in := range left {
+		in.reply <- turnedBack
+	}
+}
+
+// stepAside is what remains for a process that has handed over: its clients' requests are passed on, each answer ends
+// its connection, and calls run to their ends, until SIGTERM and no longer than asideMost. Closing the listener here
+// resets nothing: the new process holds the same socket.
+func (r *Relay) stepAside(ctx context.Context, listener net.Listener) {
+	r.serving.Store(false)
+	listener.Close()
+	r.clients.lastAnswers()
+	r.hosts.close()
+	r.share(0.5)
+	select {
+	case <-ctx.Done():
+	case <-time.After(asideMost):
+	}
+	began := time.Now()
+	time.Sleep(acceptFor)
+	r.clients.close(began.Add(answerFor))
+	r.post(stopping{})
+	select {
+	case <-r.idle:
+	case <-time.After(time.Until(began.Add(endBy))):
+	}
+}
+
+// The new process's side.
+
+// takeUp takes the log over, from a process that serves now or from one that has ended.
+func (r *Relay) takeUp() error {
+	l, from, listener, err := inherit(r.cfg)
+	if err != nil {
+		r.log.Warn("not handed over", "err", err)
+	}
+	var found wal.Recovery
+	if r.lock, err = wal.Lock(r.cfg.StateDir); err == nil {
+		r.wal, found, err = wal.Open(r.cfg.StateDir, int64(r.cfg.Limits.DiskMB*1e6))
+	}
+	if err == nil && l != nil && l.send(frame{Mine: true}) != nil {
+		err = errors.Join(wal.ErrHeld, r.wal.Close()) // that process waits no longer, or has ended: begin anew
+	}
+	if err != nil {
+		if r.lock != nil {
+			r.lock.Close()
+		}
+		if l != nil {
+			l.Close()
+			listener.Close()
+		}
+		return fmt.Errorf("relay: %w", err)
+	}
+	r.found, r.legacy = found, from
+	if l == nil {
+		return nil
+	}
+	l.SetDeadline(time.Time{})
+	r.parent, r.lastID = l, from.LastID
+	r.started = time.Now().Add(-time.Since(from.Began))
+	r.cfg.Known = List{}
+	for _, m := range from.Members {
+		entry, err := json.Marshal(m)
+		if err != nil {
+			panic(err) // plain fields only: cannot fail
+		}
+		r.cfg.Known.Entries = append(r.cfg.Known.Entries, entry)
+	}
+	if listener.Addr().String() == r.cfg.Listen {
+		r.listener = listener
+	} else {
+		listener.Close()
+	}
+	r.share(0.5)
+	return nil
+}
+
+// inherit asks the process that serves now for its place. The link is nil if there is none.
+func inherit(cfg Config) (l *link, from estate, listener *net.TCPListener, err error) {
+	c, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: filepath.Join(cfg.StateDir, linkName), Net: "unix"})
+	if err != nil {
+		return nil, estate{}, nil, nil // nobody there
+	}
+	defer func() {
+		if err != nil {
+			c.Close()
+			if listener != nil {
+				listener.Close()
+			}
+		}
+	}()
+	c.SetDeadline(time.Now().Add(linkFor))
+	mark, oob := make([]byte, 1), make([]byte, syscall.CmsgSpace(4))
+	_, n, _, _, err := c.ReadMsgUnix(mark, oob)
+	if err != nil {
+		return nil, estate{}, nil, fmt.Errorf("relay: take over: %w", err)
+	}
+	if listener, err = passedListener(oob[:n]); err != nil {
+		return nil, estate{}, nil, fmt.Errorf("relay: take over: %w", err)
+	}
+	l = newLink(c)
+	if err = l.dec.Decode(&from); err != nil {
+		return nil, estate{}, listener, fmt.Errorf("relay: take over: %w", err)
+	}
+	return l, from, listener, nil
+}
+
+// passedListener is the listener that came with a message.
+func passedListener(oob []byte) (*net.TCPListener, error) {
+	messages, err := syscall.ParseSocketControlMessage(oob)
+	if err != nil || len(messages) != 1 {
+		return nil, errors.Join(errors.New("no socket came"), err)
+	}
+	fds, err := syscall.ParseUnixRights(&messages[0])
+	if err != nil || len(fds) != 1 {
+		return nil, errors.Join(errors.New("no socket came"), err)
+	}
+	syscall.CloseOnExec(fds[0])
+	f := os.NewFile(uintptr(fds[0]), "listener")
+	defer f.Close()
+	l, err := net.FileListener(f)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		l.Close()
+		return nil, errors.New("another kind of socket came")
+	}
+	return tcp, nil
+}
+
+// heed takes what the old process tells until it ends, and from then on knows that it is alone.
+func (r *Relay) heed(l *link) {
+	for {
+		var f frame
+		if err := l.dec.Decode(&f); err != nil {
+			break
+		}
+		switch {
+		case f.End != nil:
+			r.post(*f.End)
+		case f.Leave != 0:
+			r.post(withdrawal{f.Leave})
+		case f.Hand != nil && f.Hand.Message != nil:
+			m := f.Hand.Message
+			m.Body = f.Hand.Body
+			in := &handIn{m: m, reply: make(chan answer, 1)}
+			seq := f.Hand.Seq
+			if !r.post(in) {
+				break
+			}
+			go func() { // as many at most as the old process has clients
+				select {
+				case a := <-in.reply:
+					l.send(frame{Reply: &passedAnswer{seq, m.ID, a.status, a.again, a.text}})
+				case <-r.over:
+				}
+			}()
+		}
+	}
+	l.Close()
+	r.post(alone{})
+}
+
+// inherited takes the outcome of an attempt that the old process made.
+func (r *Relay) inherited(evs []policy.Event, e passedEnd) []policy.Event {
+	key := outKey{e.ID, e.N}
+	a := r.foreign[key]
+	if a == nil {
+		return evs
+	}
+	if !e.Cut {
+		delete(r.foreign, key)
+	}
+	if e.Outcome == policy.OK {
+		a.m.told = true // counted where it came
+	}
+	return r.attemptEnded(evs, a, result{e.Outcome, e.Gone, e.Wait, e.Report, e.Took})
+}
+
+// bereft ends the attempts that the old process has not told of: they may have run.
+func (r *Relay) bereft(evs []policy.Event) []policy.Event {
+	keys := make([]outKey, 0, len(r.foreign))
+	for k := range r.foreign {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b outKey) int { return cmp.Or(cmp.Compare(a.id, b.id), cmp.Compare(a.n, b.n)) })
+	for _, k := range keys {
+		evs = r.inherited(evs, passedEnd{ID: k.id, N: k.n, Outcome: policy.Reset})
+	}
+	r.share(1)
+	return evs
+}
+
+// share sets the part of the relay's limits that this process may use.
+func (r *Relay) share(part float64) {
+	r.clients.bound(int(part * float64(r.cfg.Limits.Sockets*9/20)))
+	r.hosts.bound(int(part * float64(r.cfg.Limits.Sockets*3/8)))
+	debug.SetMemoryLimit(int64(part * float64(r.memory)))
+}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -14,7 +14,10 @@
 // roomPause is how long a call waits before it looks for a free connection or descriptor again.
 const roomPause = 20 * time.Millisecond
 
-var errTooManyConns = errors.New("all connections that the relay may hold are in use")
+var (
+	errTooManyConns = errors.New("all connections that the relay may hold are in use")
+	errClosed       = errors.New("no more connections are opened")
+)
 
 // peer is a host at an address. Another host may come up at an address that was in use: it has other connections.
 type peer struct{ route, addr string }
@@ -65,7 +68,7 @@
 	defer cancel()
 	for {
 		c, err = p.connect(ctx, to)
-		if err == nil || !scarce(err) {
+		if err == nil || !scarce(err) || errors.Is(err, errClosed) {
 			return c, true, err
 		}
 		p.mu.Lock()
@@ -81,7 +84,7 @@
 
 // scarce tells whether a connection did not come up for want of what this relay may hold: that says nothing of the host.
 func scarce(err error) bool {
-	return errors.Is(err, errTooManyConns) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
+	return errors.Is(err, errTooManyConns) || errors.Is(err, errClosed) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) ||
 		errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.EADDRNOTAVAIL)
 }
 
@@ -90,8 +93,11 @@
 	if p.open >= p.most {
 		p.evict()
 	}
-	if p.open >= p.most || p.closed {
-		p.mu.Unlock()
+	if p.closed || p.open >= p.most {
+		defer p.mu.Unlock()
+		if p.closed {
+			return nil, errClosed
+		}
 		return nil, errTooManyConns
 	}
 	p.open++
@@ -199,6 +205,13 @@
 	}
 }
 
+// bound changes how many connections there may be.
+func (p *pool) bound(most int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.most = most
+}
+
 // close closes all idle connections and keeps none from here on.
 func (p *pool) close() {
 	p.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -89,6 +91,14 @@
 	listed  atomic.Bool // it holds a list
 	ending  atomic.Bool // SIGTERM came
 	calls   sync.WaitGroup
+	handed  chan struct{} // closed when the relay has handed over
+
+	// Set before the loop begins.
+	listener *net.TCPListener // nil until it is there
+	parent   *link            // to the process that handed over to this one; nil if none did
+	legacy   estate           // what that one told
+	memory   int64            // the limit of all processes
+	endAdmin func()
 
 	// Owned by the loop.
 	callCtx context.Context
@@ -104,9 +114,13 @@
 	held    int          // messages that the module has not done with
 	out     int          // calls
 	lastID  uint32
-	wakeAt  time.Time      // zero: none asked for
-	later   []policy.Event // for the next step
-	full    bool           // the log took no new work last
+	flying  map[*call]struct{}  // calls out
+	lock    *os.File            // the log's; nil without it
+	heir    *link               // to the process that this one has handed over to
+	foreign map[outKey]*attempt // out at the process before
+	wakeAt  time.Time           // zero: none asked for
+	later   []policy.Event      // for the next step
+	full    bool                // the log took no new work last
 
 	stopping, noSends, idled bool
 }
@@ -117,22 +131,20 @@
 	addr string
 }
 
-// New returns a relay that has read what an earlier process left in the log.
-func New(cfg Config, log *slog.Logger) (*Relay, error) {
+// New returns a relay that has read what an earlier process left in the log. While another process has the log and does
+// not hand it over, New waits, until ctx ends.
+func New(ctx context.Context, cfg Config, log *slog.Logger) (*Relay, error) {
 	sender, err := policy.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
-	w, recovered, err := wal.Open(cfg.StateDir, int64(cfg.Limits.DiskMB*1e6))
-	if err != nil {
-		return nil, fmt.Errorf("relay: %w", err)
-	}
 	r := &Relay{
 		cfg: cfg, log: log, hosts: newHosts(cfg), agent: newAgent(cfg.Discovery),
 		events: make(chan any, eventRoom), over: make(chan struct{}), idle: make(chan struct{}),
-		started: time.Now().Add(-clockStart), sender: sender, wal: w,
+		started: time.Now().Add(-clockStart), sender: sender, handed: make(chan struct{}),
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
-		cells: map[int]bool{}, figures: newFigures(cfg.Classes),
+		cells: map[int]bool{}, figures: newFigures(cfg.Classes), endAdmin: func() {},
+		flying: map[*call]struct{}{}, foreign: map[outKey]*attempt{}, memory: debug.SetMemoryLimit(-1),
 	}
 	r.hosts.sent = func(c *call) {
 		for _, a := range c.attempts {
@@ -142,22 +154,36 @@
 	// Clients hold a third of the descriptors with their requests; more is for those that are slow to leave.
 	r.clients = newClients(log, cfg.Limits.Sockets*9/20, r.request)
 	r.finals = newFinals(log, r.agent, func(ids []uint32) { r.post(confirmed{ids}) })
-	r.found = recovered
+	// Before the old process gives anything away: what can fail has failed by then.
+	if cfg.Admin != "" {
+		l, err := net.Listen("tcp", cfg.Admin)
+		if err != nil {
+			return nil, fmt.Errorf("relay: admin: %w", err)
+		}
+		r.endAdmin = r.serveAdmin(l)
+	}
+	for err = r.takeUp(); errors.Is(err, wal.ErrHeld) && ctx.Err() == nil; err = r.takeUp() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(lockPause):
+		}
+	}
+	if err != nil {
+		r.endAdmin()
+		return nil, err
+	}
 	return r, nil
 }
 
 // Run serves until ctx ends, and then ends in order: see endBy.
 func (r *Relay) Run(ctx context.Context) error {
-	if r.cfg.Admin != "" {
-		l, err := net.Listen("tcp", r.cfg.Admin)
+	defer r.endAdmin()
+	if r.listener == nil {
+		l, err := net.Listen("tcp", r.cfg.Listen)
 		if err != nil {
-			return errors.Join(fmt.Errorf("relay: admin: %w", err), r.wal.Close())
+			return errors.Join(fmt.Errorf("relay: %w", err), r.wal.Close())
 		}
-		defer r.serveAdmin(l)()
-	}
-	listener, err := net.Listen("tcp", r.cfg.Listen)
-	if err != nil {
-		return errors.Join(fmt.Errorf("relay: %w", err), r.wal.Close())
+		r.listener = l.(*net.TCPListener)
 	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -166,24 +192,39 @@
 	r.callCtx = callCtx
 	r.resume() // before clients are told that the relay is ready
 	go r.loop(work)
-	go r.finals.run(work)
+	if r.parent != nil {
+		go r.heed(r.parent)
+	}
+	talk, quiet := context.WithCancel(work)
+	defer quiet()
+	go r.finals.run(talk)
 	list := watcher{
 		log: r.log, agent: r.agent, silence: watchSilence, version: r.cfg.Known.Version,
 		told: func(l List) { r.post(l) },
 	}
-	go list.run(work)
+	go list.run(talk)
 
-	go r.clients.run(listener)
+	go r.clients.run(r.listener)
 	r.serving.Store(true)
-	r.log.Info("serving", "name", r.cfg.Name, "listen", listener.Addr().String())
-	<-ctx.Done()
-	r.shutDown(listener)
+	r.log.Info("serving", "name", r.cfg.Name, "listen", r.listener.Addr().String())
+	defer r.heirs()()
+	select {
+	case <-ctx.Done():
+		r.shutDown(r.listener)
+	case <-r.handed:
+		quiet()
+		r.stepAside(ctx, r.listener)
+	}
 	stopCalls()
 	r.calls.Wait() // their outcomes reach the log
 	stop()
 	<-r.over
 	r.hosts.close()
-	return r.wal.Close()
+	err := r.wal.Close()
+	if r.lock != nil {
+		err = errors.Join(err, r.lock.Close())
+	}
+	return err
 }
 
 // Reload takes on what may change while the relay runs: discovery's address. All else takes a restart.
@@ -237,13 +278,33 @@
 		known.Full = true
 		evs = append(evs, r.list(known))
 	}
+	if r.parent != nil {
+		// The list first: what is remembered needs it.
+		r.carryOut(r.sender.Step(r.now(), evs), nil)
+		r.sender.Remember(r.legacy.Memories)
+		evs = nil
+	}
+	outs := map[uint32]*policy.Out{}
+	for _, o := range r.legacy.Out {
+		if !o.Cut {
+			outs[o.ID] = &o.Out
+		}
+	}
 	for _, w := range found.Messages {
 		m := &message{Message: w, sends: w.Attempts}
 		r.msgs[m.ID], r.traces[m.Trace] = m, m
 		r.lastID = max(r.lastID, m.ID)
+		out := outs[m.ID]
+		if out != nil {
+			m.out++
+		}
+		if out != nil && (w.Withdrawn || w.Final != nil) {
+			// Over, but its call has a slot until it ends.
+			evs = append(evs, r.resumed(m, out), policy.Event{Kind: policy.Withdrawn, ID: m.ID})
+		}
 		switch {
 		case w.Withdrawn:
-			m.ended = true
+			m.ended, m.told = true, true
 			r.left = append(r.left, m)
 		case w.Final != nil:
 			m.ended, m.told = true, true
@@ -256,21 +317,30 @@
 			r.notify(m)
 		default:
 			r.held++
-			evs = append(evs, r.resumed(m))
+			evs = append(evs, r.resumed(m, out))
 		}
 	}
 	if len(found.Messages) > 0 || found.Damaged {
 		r.log.Info("recovered", "messages", len(found.Messages), "damaged", found.Damaged)
 	}
+	for _, o := range r.legacy.Out {
+		if m := r.msgs[o.ID]; m != nil {
+			c := &call{route: o.Route, zone: r.routes[o.Route].Zone, sent: r.started.Add(o.Sent)}
+			r.foreign[outKey{o.ID, o.Attempt}] = &attempt{call: c, m: m, n: o.Attempt, over: o.Cut}
+		}
+	}
+	r.legacy = estate{}
 	r.carryOut(r.sender.Step(r.now(), evs), nil)
 }
 
-// resumed tells the module of a message of an earlier process, in the module's own time.
-func (r *Relay) resumed(m *message) policy.Event {
+// resumed tells the module of a message of an earlier process, in the module's own time. out is the attempt that is
+// out there, if any: whether that runs is yet to be told.
+func (r *Relay) resumed(m *message, out *policy.Out) policy.Event {
 	e := r.taken(m)
-	e.Resumed = &policy.Resumed{Attempts: m.Attempts}
-	if len(m.MayRun) > 0 {
-		first := m.MayRun[0]
+	e.Resumed = &policy.Resumed{Attempts: m.Attempts, Out: out}
+	ran := slices.DeleteFunc(slices.Clone(m.MayRun), func(a wal.Attempt) bool { return out != nil && a.N == out.Attempt })
+	if len(ran) > 0 {
+		first := ran[0]
 		e.Resumed.Ran, e.Resumed.RanZone = true, first.Zone
 		e.Resumed.RanAgo = max(0, time.Since(first.At))
 	}
@@ -349,7 +419,12 @@
 	}
 	evs := append([]policy.Event(nil), r.later...)
 	r.later = r.later[:0]
+	if r.heir != nil {
+		r.passOn(batch)
+		return
+	}
 	var asked []clearance
+	var heirs []takeover
 	var ins []*handIn
 	for _, e := range batch {
 		switch e := e.(type) {
@@ -372,6 +447,12 @@
 					r.retire(m)
 				}
 			}
+		case passedEnd:
+			evs = r.inherited(evs, e)
+		case alone:
+			evs = r.bereft(evs)
+		case takeover:
+			heirs = append(heirs, e)
 		case stopping:
 			r.stopping = true
 		case noSends:
@@ -385,7 +466,7 @@
 			switch m := in.as; {
 			case m.Message != in.m: // a twin of one before it
 			case m.Attempts > 0:
-				evs = append(evs, r.resumed(m))
+				evs = append(evs, r.resumed(m, nil))
 			default:
 				evs = append(evs, r.taken(m))
 			}
@@ -402,6 +483,9 @@
 		close(r.idle)
 	}
 	r.publish()
+	for _, h := range heirs {
+		r.handOver(h.link)
+	}
 }
 
 // owesNothing tells whether all is ended, and all outcomes are in.
@@ -561,6 +645,7 @@
 // callEnded takes the end of a call.
 func (r *Relay) callEnded(evs []policy.Event, e *callEnd) []policy.Event {
 	r.out--
+	delete(r.flying, e.c)
 	for i, a := range e.c.attempts {
 		evs = r.attemptEnded(evs, a, e.results[i])
 	}
@@ -782,6 +867,7 @@
 // launch makes a call, away from the loop.
 func (r *Relay) launch(c *call) {
 	r.out++
+	r.flying[c] = struct{}{}
 	for _, a := range c.attempts {
 		if a.until.Before(c.until) {
 			a.timer = time.AfterFunc(time.Until(a.until), func() { r.post(cutOff{a}) })
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -75,7 +75,7 @@
 		t.Fatal(err)
 	}
 	c.StateDir = t.TempDir()
-	r, err := New(c, quiet())
+	r, err := New(t.Context(), c, quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -384,7 +384,7 @@
 	if err := os.WriteFile(filepath.Join(cfg.StateDir, "wal.log"), data, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	again, err := New(cfg, quiet())
+	again, err := New(t.Context(), cfg, quiet())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -13,12 +13,16 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"time"
 )
 
 // ErrFull tells that the log has no room for new work. Ends and outcomes still find room.
 var ErrFull = errors.New("wal: no room for new work")
 
+// ErrHeld tells that another process has the log.
+var ErrHeld = errors.New("wal: held by another process")
+
 // Message is a message that was taken on, with what the log knows of its fate.
 type Message struct {
 	ID       uint32 // the log's own number for it
@@ -80,6 +84,7 @@
 const (
 	name     = "wal.log"
 	tempName = "wal.tmp"
+	lockName = "wal.lock"
 
 	magic     = 0xC7A1
 	headBytes = 10 // magic, length, checksum
@@ -113,6 +118,23 @@
 	notes []byte // outcomes and ends not yet written
 }
 
+// Lock takes the lock on the log in dir, which goes with the file returned, or with the process. Guards against two
+// writers: whoever opens the log holds it. ErrHeld tells that another does.
+func Lock(dir string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("wal: %w", err)
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		if errors.Is(err, syscall.EWOULDBLOCK) {
+			return nil, ErrHeld
+		}
+		return nil, fmt.Errorf("wal: lock: %w", err)
+	}
+	return f, nil
+}
+
 // Open reads the log in dir, or begins one, that may take limit bytes of disk.
 func Open(dir string, limit int64) (*Log, Recovery, error) {
 	l := &Log{dir: dir, limit: limit, live: map[uint32]*Message{}}
--- a/policy/api.go
+++ b/policy/api.go
@@ -111,6 +111,7 @@
 	Ran      bool          // one may have run
 	RanAgo   time.Duration // how long ago the first of them was sent
 	RanZone  int           // and to which zone
+	Out      *Out          // one is out still, at a process that handed over; nil if none
 }
 
 // RetryAdvice is the least time that a client turned away is told to stay away.
--- /dev/null
+++ b/policy/handover.go
@@ -0,0 +1,92 @@
+package policy
+
+import "time"
+
+// What one process tells the next when it hands its work over. Both go by one clock, so that times need no change.
+
+// Memory is what a Sender knows of a route, with what it knows of the route's gate. Guards against a successor that
+// does not know of a told wait, an outage or a pace: the two are one sender to everybody else.
+type Memory struct {
+	Route string
+
+	// The gate's.
+	Wait, HalvedAt, CreptAt, TokensAt, ColdAt, ColdLeft, GotAt time.Duration
+	Pace, Ceiling, Under, Tokens, Credit, Limit, Got           float64
+	Guessed                                                    bool
+	GateStreak, Tights                                         int
+	Sent                                                       []time.Duration
+
+	// The route's.
+	SkipUntil, SkipLen, Back, RefusedAt, OKAt, OKSent, Mean, Dev time.Duration
+	Down, Cold, Slight                                           bool
+	Run, Streak, Refusals                                        int
+	Recent                                                       uint8
+	Lot                                                          uint64
+}
+
+// Out is an attempt that is out at a process which hands over. Attempts of one Call share it.
+type Out struct {
+	Call    uint32
+	Attempt int
+	Route   string
+	Sent    time.Duration
+	Cut     time.Duration // it times out then
+}
+
+// Memories is what this Sender knows, route by route.
+func (s *Sender) Memories() (ms []Memory) {
+	for _, d := range s.order {
+		for _, g := range d.gates {
+			for _, r := range g.routes {
+				ms = append(ms, Memory{
+					r.Route, g.wait, g.halvedAt, g.creptAt, g.tokensAt, g.coldAt, g.coldLeft, g.gotAt, g.pace, g.ceiling, g.under,
+					g.tokens, g.credit, g.limit, g.got, g.guessed, g.streak, g.tights, g.sent, r.skipUntil, r.skipLen, r.back,
+					r.refusedAt, r.okAt, r.okSent, r.mean, r.dev, r.down, r.cold, r.slight, r.run, r.streak, r.refusals, r.recent, r.lot,
+				})
+			}
+		}
+	}
+	return ms
+}
+
+// Remember takes on what another Sender knew of the routes that are listed here. It comes before any message.
+func (s *Sender) Remember(ms []Memory) {
+	s.handed = true
+	for _, m := range ms {
+		r := s.routes[m.Route]
+		if r == nil {
+			continue
+		}
+		g := r.gate
+		g.wait, g.halvedAt, g.creptAt, g.tokensAt, g.coldAt = m.Wait, m.HalvedAt, m.CreptAt, m.TokensAt, m.ColdAt
+		g.coldLeft, g.gotAt, g.pace, g.ceiling, g.under = m.ColdLeft, m.GotAt, m.Pace, m.Ceiling, m.Under
+		g.tokens, g.credit, g.got, g.guessed, g.streak = m.Tokens, m.Credit, m.Got, m.Guessed, m.GateStreak
+		g.tights, g.sent = m.Tights, m.Sent
+		s.report(r, Report{Told: true, Limit: m.Limit})
+		r.skipUntil, r.skipLen, r.back, r.refusedAt, r.okAt = m.SkipUntil, m.SkipLen, m.Back, m.RefusedAt, m.OKAt
+		r.okSent, r.mean, r.dev, r.down, r.cold, r.slight = m.OKSent, m.Mean, m.Dev, m.Down, m.Cold, m.Slight
+		r.run, r.streak, r.refusals, r.recent, r.lot = m.Run, m.Streak, m.Refusals, m.Recent, m.Lot
+		s.sortRoutes(g.dest)
+	}
+}
+
+// adopt books an attempt that is out at the process before: it has a slot, and its outcome is still to come.
+func (s *Sender) adopt(m *message, o *Out) {
+	c := s.adopted[o.Call]
+	if c == nil {
+		r := s.routes[o.Route]
+		if r == nil { // off the list by now
+			r = &route{Listing: Listing{Route: o.Route, Gone: true}, gate: &gate{dest: m.dest}}
+		}
+		c = &call{r: r, sent: o.Sent, expect: o.Sent + s.expect(r, lateDevs), cut: o.Cut}
+		s.slots++
+		r.gate.out++
+		r.calls = append(r.calls, c)
+		if s.adopted == nil {
+			s.adopted = map[uint32]*call{}
+		}
+		s.adopted[o.Call] = c
+	}
+	c.left++
+	m.out = append(m.out, attempt{o.Attempt, c})
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -140,7 +140,7 @@
 		s.wakeAt = max(s.wantWake, now+time.Millisecond)
 		s.act(Action{Kind: Wake, Delay: s.wakeAt - now})
 	}
-	s.wantWake = 0
+	s.wantWake, s.adopted = 0, nil
 	return s.acts
 }
 
@@ -488,7 +488,7 @@
 	m.deadline = s.now + e.Left - endMargin
 	m.due = s.now + c.Aim - max(0, c.GiveUp-e.Left)
 	m.rank = s.now + time.Duration(float64(m.due-s.now)/math.Max(c.Value, 0.01))
-	if s.overShare(e.Customer) {
+	if e.Resumed == nil && s.overShare(e.Customer) { // one taken on before was counted then
 		m.rank += time.Duration(overShare * float64(e.Left))
 	}
 	s.msgs[m.id] = m
@@ -500,7 +500,9 @@
 	s.resume(m, e.Resumed)
 	heap.Push(&s.ends, end{m.deadline, m})
 	heap.Push(&s.ends, end{m.due, m})
-	s.enqueue(m)
+	if len(m.out) == 0 {
+		s.enqueue(m)
+	}
 	s.makeRoom()
 }
 
--- a/policy/resume.go
+++ b/policy/resume.go
@@ -20,6 +20,9 @@
 	if e.Ran {
 		s.mark(m, s.now-e.RanAgo, e.RanZone)
 	}
+	if e.Out != nil {
+		s.adopt(m, e.Out)
+	}
 	if s.spent(m) {
 		heap.Push(&s.ends, end{s.now, m}) // ends in this step
 	}
@@ -27,7 +30,7 @@
 		m.turn.rest = max(m.turn.rest, s.now+s.set.OrderPause) // a call out when the process ended may still run
 	}
 	for _, g := range m.dest.gates {
-		if g.pace == 0 {
+		if g.pace == 0 && !s.handed {
 			g.pace, g.tokens, g.tokensAt = s.part(g), 1, s.now
 			g.guessed = s.limit(g) == 0
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -147,6 +147,8 @@
 	wakeAt   time.Duration // earliest wake asked for; 0: none
 	wantWake time.Duration
 	acts     []Action
+	handed   bool             // it knows what an earlier process knew
+	adopted  map[uint32]*call // in this step, by the earlier process's number
 }
 
 // list takes on the list of routes. A route that drains or is gone takes nothing new from here on.
