Take endpoints out by hand, and keep them out until they are put back

The set has one owner, which writes it before the yes; the module hears of a change as an event, and checks it before a send. Ruled out: that drains themselves were heeded late, since all sends that broke the rule went to endpoints that calls had taken out.

--- a/cmd/cherrytrestle/main_test.go
+++ b/cmd/cherrytrestle/main_test.go
@@ -887,3 +887,61 @@
 		t.Errorf("the call that was out: sent %d times, notice %v", h.count("held"), p.final("held"))
 	}
 }
+
+// byHand takes an endpoint out or puts it back.
+func (r *relayProcess) byHand(admin, call, id string) int {
+	r.t.Helper()
+	res, err := r.client.Post(admin+"/api/"+call, "application/json", strings.NewReader(`{"host":"`+id+`"}`))
+	must(r.t, err)
+	res.Body.Close()
+	return res.StatusCode
+}
+
+// An endpoint that is out by hand stays out over a SIGKILL, a hand-over and a new listing, until one call puts it back.
+func TestAnEndpointStaysOutByHand(t *testing.T) {
+	p, first, second := newPlatform(t), newHost(t, nil), newHost(t, nil)
+	entries := []member{listed("s-1", first.addr(), "a", "gateway", "ready"), listed("s-2", second.addr(), "a", "gateway", "ready")}
+	r := newRelay(t, p, entries, nil)
+	r.take("m0", 10*time.Second)
+	eventually(t, "the first of two takes it", func() bool { return first.count("m0") == 1 })
+	_, admin := r.beside(p)
+	if got := r.byHand(admin, "exclude", "s-1"); got != http.StatusOK {
+		t.Fatalf("exclude: %d", got)
+	}
+	eventually(t, "it is avoided", func() bool { return strings.Contains(r.figures(admin), "relay.cluster_unhealthy:1|g") })
+	goesToSecond := func(id string) {
+		t.Helper()
+		r.take(id, 10*time.Second)
+		eventually(t, id+" delivered", func() bool { return second.count(id) == 1 })
+	}
+	goesToSecond("m1")
+	r.kill()
+	r.start(p)
+	goesToSecond("m2")
+	p.tell(true, entries[1])
+	p.tell(true, entries...)
+	_, admin = r.beside(p)
+	goesToSecond("m3")
+	_, next := r.beside(p)
+	// The process before passes calls on.
+	if got := r.byHand(admin, "exclude", "s-9"); got != http.StatusNotFound {
+		t.Errorf("one that was never listed: %d", got)
+	}
+	if got := r.byHand(admin, "include", "s-1"); got != http.StatusOK {
+		t.Errorf("include: %d", got)
+	}
+	eventually(t, "none is avoided", func() bool { return strings.Contains(r.figures(next), "relay.cluster_unhealthy:0|g") })
+	first.mu.Lock()
+	if first.calls != 1 {
+		t.Errorf("%d calls while it was out", first.calls-1)
+	}
+	first.mu.Unlock()
+	n := 0
+	eventually(t, "it takes messages again", func() bool {
+		n++
+		r.take(fmt.Sprint("back-", n), 10*time.Second)
+		first.mu.Lock()
+		defer first.mu.Unlock()
+		return first.calls > 1
+	})
+}
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -102,6 +104,21 @@
 			return answer{status: http.StatusServiceUnavailable, text: "not serving"}
 		}
 		return answer{status: http.StatusOK, text: "serving"}
+	case "/api/exclude", "/api/include":
+		if req.Method != http.MethodPost {
+			return answer{status: http.StatusMethodNotAllowed, text: "POST only"}
+		}
+		body, err := readBody(req)
+		if errors.Is(err, errTooMuch) {
+			return answer{status: http.StatusRequestEntityTooLarge, text: "body over 64 KiB"}
+		} else if err != nil {
+			return unreadable(err)
+		}
+		var call struct{ Host string }
+		if err := json.Unmarshal(body, &call); err != nil || call.Host == "" || len(call.Host) > idMost {
+			return bad(`the body is not {"host":"ID"}`)
+		}
+		return r.byHand.set(call.Host, path == "/api/exclude")
 	}
 	return answer{status: http.StatusNotFound, text: "no such call"}
 }
--- a/internal/relay/admin_test.go
+++ b/internal/relay/admin_test.go
@@ -45,7 +45,7 @@
 		want         int
 	}{
 		{"GET", "/api/ready", 503}, {"GET", "/api/telemetry", 200}, {"GET", "/", 404}, {"GET", "/api", 404},
-		{"POST", "/api/ready", 405}, {"POST", "/api/telemetry", 405}, {"POST", "/order", 404},
+		{"GET", "/api/exclude", 405}, {"PUT", "/api/include", 405}, {"POST", "/api/ready", 405}, {"POST", "/api/telemetry", 405}, {"POST", "/order", 404},
 	} {
 		if got, _ := ask(t, addr, c.method, c.path, ""); got != c.want {
 			t.Errorf("%s %s: %d, want %d", c.method, c.path, got, c.want)
@@ -134,3 +134,66 @@
 		t.Errorf("%d messages counted as written, want 1", sent)
 	}
 }
+
+func TestEndpointsOutByHand(t *testing.T) {
+	r := newTestRelay(t)
+	addr := adminOf(t, r)
+	for _, c := range []struct {
+		path, body string
+		want       int
+	}{
+		{"exclude", "", 400}, {"exclude", "{", 400}, {"exclude", "[]", 400}, {"exclude", `{"host":7}`, 400},
+		{"exclude", `{"host":""}`, 400}, {"exclude", `{"host":"s-1"}}`, 400},
+		{"exclude", strings.Repeat(" ", bodyMost+1), 413}, {"exclude", `{"host":"s-9"}`, 404}, {"include", `{"host":"s-9"}`, 404},
+		{"include", `{"host":"s-1"}`, 200}, {"exclude", `{"host":"s-1"}`, 200}, {"exclude", `{"host":"s-1"}`, 200},
+	} {
+		if got, text := ask(t, addr, "POST", "/api/"+c.path, c.body); got != c.want {
+			t.Errorf("%s %.20q: %d %s, want %d", c.path, c.body, got, text, c.want)
+		}
+	}
+	// The yes is there before any step: what was decided earlier must not leave after the next, nor after a restart.
+	r.step(nil)
+	r.wantFigures(t, "out", map[string]string{"cluster_unhealthy": "1|g"})
+	if r.sender.MayStill("s-1", r.now()) {
+		t.Error("a call to it may leave")
+	}
+	r.list(List{Full: true})
+	r = restarted(t, r)
+	r.step(nil)
+	if r.sender.MayStill("s-1", r.now()) {
+		t.Error("after a restart a call to it may leave")
+	}
+	addr = adminOf(t, r)
+	if got, _ := ask(t, addr, "POST", "/api/include", `{"host":"s-1"}`); got != 200 {
+		t.Errorf("put back: %d", got)
+	}
+	r.step(nil)
+	r.wantFigures(t, "back", map[string]string{"cluster_unhealthy": "0|g"})
+	if !r.sender.MayStill("s-1", r.now()) {
+		t.Error("one call back does not end it")
+	}
+}
+
+// What cannot be kept is not promised.
+func TestAnExclusionThatIsNotKeptIsRefused(t *testing.T) {
+	r := newTestRelay(t)
+	r.byHand.dir = r.byHand.dir + "/none"
+	if a := r.byHand.set("s-1", true); a.status != http.StatusServiceUnavailable {
+		t.Errorf("status %d", a.status)
+	}
+	r.step(nil)
+	if !r.sender.MayStill("s-1", r.now()) {
+		t.Error("out all the same")
+	}
+}
+
+func TestIDsThatAreLongGoneAreForgotten(t *testing.T) {
+	x := newExclusions(quiet(), t.TempDir())
+	x.listed([]string{"first", "stays"}, func(string) bool { return true })
+	for i := range seenMost {
+		x.listed([]string{fmt.Sprint("s-", i)}, func(id string) bool { return id == "stays" })
+	}
+	if len(x.ids) != seenMost || len(x.seen) != seenMost || x.seen["first"] || !x.seen["stays"] {
+		t.Errorf("%d ids, %d seen, first %v, stays %v", len(x.ids), len(x.seen), x.seen["first"], x.seen["stays"])
+	}
+}
--- /dev/null
+++ b/internal/relay/exclusions.go
@@ -0,0 +1,154 @@
+package relay
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+)
+
+const (
+	exclusionsName = "excluded.json"
+	exclusionsMost = 16 << 10 // bytes of the set on disk
+	seenMost       = 8192     // ids that the list has named, those no longer on it among them
+	// stateReserve is the part of the disk limit that is kept from the log: the set, a new one beside it, and the rest.
+	stateReserve = 64 << 10
+)
+
+// exclusions is the set of endpoints that operators have taken out by hand. It alone writes the set, to the state
+// folder and before the yes. Callers change it without waiting for the loop, which hears of it by changed.
+type exclusions struct {
+	log     *slog.Logger
+	dir     string
+	changed chan struct{} // holds one
+
+	mu   sync.Mutex // held while the set is handed over
+	mine bool       // this process has the set
+	heir *link      // else the process that has it; nil if none has it yet
+	out  map[string]bool
+	seen map[string]bool
+	ids  []string // those of seen, by age
+}
+
+func newExclusions(log *slog.Logger, dir string) *exclusions {
+	return &exclusions{log: log, dir: dir, changed: make(chan struct{}, 1), out: map[string]bool{}, seen: map[string]bool{}}
+}
+
+// load takes the set over from an earlier process. Whoever calls has the log's lock.
+func (x *exclusions) load(seen []string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.mine = true
+	x.note(seen)
+	data, err := os.ReadFile(filepath.Join(x.dir, exclusionsName))
+	var ids []string
+	if err == nil {
+		err = json.Unmarshal(data, &ids)
+	}
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		x.log.Error("endpoints out by hand are not known", "err", err)
+	}
+	for _, id := range ids {
+		x.out[id] = true // nobody has seen it yet
+	}
+	x.signal()
+}
+
+func (x *exclusions) signal() {
+	select {
+	case x.changed <- struct{}{}:
+	default:
+	}
+}
+
+// listed notes ids that discovery's list names. Of those not on it for long the oldest are forgotten.
+func (x *exclusions) listed(ids []string, on func(id string) bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.note(ids)
+	for n := len(x.ids); n > 0 && len(x.ids) > seenMost; n-- {
+		id := x.ids[0]
+		x.ids = x.ids[1:]
+		if on(id) {
+			x.ids = append(x.ids, id)
+		} else {
+			delete(x.seen, id)
+		}
+	}
+}
+
+func (x *exclusions) note(ids []string) {
+	for _, id := range ids {
+		if !x.seen[id] {
+			x.seen[id] = true
+			x.ids = append(x.ids, id)
+		}
+	}
+}
+
+// set takes an endpoint out, or puts it back.
+func (x *exclusions) set(id string, out bool) answer {
+	x.mu.Lock()
+	if heir := x.heir; heir != nil {
+		x.mu.Unlock()
+		in := &handIn{host: id, out: out, reply: make(chan answer, 1)}
+		heir.ask(in)
+		return <-in.reply
+	}
+	defer x.mu.Unlock()
+	switch {
+	case !x.mine:
+		return answer{status: http.StatusServiceUnavailable, text: "not serving"}
+	case !x.out[id] && !x.seen[id]:
+		return answer{status: http.StatusNotFound, text: "no such endpoint was ever listed"}
+	}
+	if x.out[id] != out {
+		if err := x.write(id, out); err != nil {
+			x.log.Error("endpoint out by hand", "id", id, "out", out, "err", err)
+			return answer{status: http.StatusServiceUnavailable, text: "not kept: " + err.Error()}
+		}
+		x.log.Info("endpoint out by hand", "id", id, "out", out)
+		x.signal()
+	}
+	if out {
+		return answer{status: http.StatusOK, text: "out"}
+	}
+	return answer{status: http.StatusOK, text: "back"}
+}
+
+// write changes the set on disk, whole or not at all, and then here.
+func (x *exclusions) write(id string, out bool) error {
+	next := maps.Clone(x.out)
+	if next[id] = true; !out {
+		delete(next, id)
+	}
+	data, err := json.Marshal(slices.Sorted(maps.Keys(next)))
+	if err != nil {
+		return err
+	}
+	if len(data) > exclusionsMost {
+		return fmt.Errorf("more than %d bytes of ids", exclusionsMost)
+	}
+	temp := filepath.Join(x.dir, exclusionsName+".tmp")
+	if err := os.WriteFile(temp, data, 0o600); err != nil {
+		return err
+	}
+	if err := os.Rename(temp, filepath.Join(x.dir, exclusionsName)); err != nil {
+		return err
+	}
+	x.out = next
+	return nil
+}
+
+// current is the set as it is now: a change makes a new one.
+func (x *exclusions) current() map[string]bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.out
+}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -46,6 +46,7 @@
 	Began    time.Time // the zero of the module's clock
 	LastID   uint32
 	Members  []member
+	Seen     []string // ids that the list has ever named
 	Memories []policy.Memory
 	Out      []outCall
 }
@@ -66,11 +67,13 @@
 	Reply *passedAnswer `json:",omitempty"` // new to old
 }
 
-// passed is a message that was handed in at the old process.
+// passed is a message that was handed in at the old process, or an operator's call there.
 type passed struct {
 	Seq     uint32
-	Message *wal.Message
-	Body    []byte
+	Message *wal.Message `json:",omitempty"`
+	Body    []byte       `json:",omitempty"`
+	Host    string       `json:",omitempty"`
+	Out     bool         `json:",omitempty"`
 }
 
 type passedAnswer struct {
@@ -167,6 +170,8 @@
 		return
 	}
 	began := time.Now()
+	r.byHand.mu.Lock() // no call is lost between the two
+	defer r.byHand.mu.Unlock()
 	err := r.wal.Flush()
 	if err == nil {
 		err = r.offer(l)
@@ -183,6 +188,7 @@
 		return
 	}
 	r.heir, r.held = l, 0
+	r.byHand.mine, r.byHand.heir = false, l
 	go r.answers(l)
 	close(r.handed)
 	r.log.Info("handed over", "calls", r.out, "took", time.Since(began))
@@ -216,7 +222,7 @@
 }
 
 func (r *Relay) estate() estate {
-	e := estate{Began: r.started, LastID: r.lastID, Memories: r.sender.Memories()}
+	e := estate{Began: r.started, LastID: r.lastID, Seen: r.byHand.ids, Memories: r.sender.Memories()}
 	for _, t := range r.routes {
 		cell, state := t.Destination, "draining"
 		if t.InService {
@@ -294,7 +300,11 @@
 	}
 	l.asked[seq] = in
 	l.mu.Unlock()
-	if err := l.send(frame{Hand: &passed{seq, in.m, in.m.Body}}); err != nil {
+	p := passed{Seq: seq, Message: in.m, Host: in.host, Out: in.out}
+	if in.m != nil {
+		p.Body = in.m.Body
+	}
+	if err := l.send(frame{Hand: &p}); err != nil {
 		l.reply(passedAnswer{Seq: seq, Status: turnedBack.status, Again: turnedBack.again})
 	}
 }
@@ -306,7 +316,9 @@
 	delete(l.asked, a.Seq)
 	l.mu.Unlock()
 	if in != nil {
-		in.m.ID = a.ID
+		if in.m != nil {
+			in.m.ID = a.ID
+		}
 		in.reply <- answer{a.Status, a.Again, a.Text}
 	}
 }
@@ -365,7 +377,7 @@
 	}
 	var found wal.Recovery
 	if r.lock, err = wal.Lock(r.cfg.StateDir); err == nil {
-		r.wal, found, err = wal.Open(r.cfg.StateDir, int64(r.cfg.Limits.DiskMB*1e6))
+		r.wal, found, err = wal.Open(r.cfg.StateDir, int64(r.cfg.Limits.DiskMB*1e6)-stateReserve)
 	}
 	if err == nil && l != nil && l.send(frame{Mine: true}) != nil {
 		err = errors.Join(wal.ErrHeld, r.wal.Close()) // that process waits no longer, or has ended: begin anew
@@ -381,6 +393,7 @@
 		return fmt.Errorf("relay: %w", err)
 	}
 	r.found, r.legacy = found, from
+	r.byHand.load(from.Seen)
 	if l == nil {
 		return nil
 	}
@@ -471,7 +484,10 @@
 			r.post(*f.End)
 		case f.Leave != 0:
 			r.post(withdrawal{f.Leave})
-		case f.Hand != nil && f.Hand.Message != nil:
+		case f.Hand != nil && f.Hand.Message == nil:
+			a := r.byHand.set(f.Hand.Host, f.Hand.Out)
+			l.send(frame{Reply: &passedAnswer{Seq: f.Hand.Seq, Status: a.status, Text: a.text}})
+		case f.Hand != nil:
 			m := f.Hand.Message
 			m.Body = f.Hand.Body
 			in := &handIn{m: m, reply: make(chan answer, 1)}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -43,7 +44,9 @@
 type (
 	handIn struct {
 		m     *wal.Message
-		as    *message    // what it was taken for
+		as    *message // what it was taken for
+		host  string   // instead of a message: an endpoint that is taken out by hand, or put back; passed on only
+		out   bool
 		reply chan answer // takes one without waiting
 	}
 	withdrawal struct{ id uint32 }
@@ -91,6 +94,7 @@
 	listed  atomic.Bool // it holds a list
 	ending  atomic.Bool // SIGTERM came
 	calls   sync.WaitGroup
+	byHand  *exclusions
 	handed  chan struct{} // closed when the relay has handed over
 
 	// Set before the loop begins.
@@ -118,6 +122,7 @@
 	lock    *os.File            // the log's; nil without it
 	heir    *link               // to the process that this one has handed over to
 	foreign map[outKey]*attempt // out at the process before
+	barred  map[string]bool     // endpoints out by hand, as the module has heard
 	wakeAt  time.Time           // zero: none asked for
 	later   []policy.Event      // for the next step
 	full    bool                // the log took no new work last
@@ -142,6 +147,7 @@
 		cfg: cfg, log: log, hosts: newHosts(cfg), agent: newAgent(cfg.Discovery),
 		events: make(chan any, eventRoom), over: make(chan struct{}), idle: make(chan struct{}),
 		started: time.Now().Add(-clockStart), sender: sender, handed: make(chan struct{}),
+		byHand: newExclusions(log, cfg.StateDir), barred: map[string]bool{},
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
 		cells: map[int]bool{}, figures: newFigures(cfg.Classes), endAdmin: func() {},
 		flying: map[*call]struct{}{}, foreign: map[outKey]*attempt{}, memory: debug.SetMemoryLimit(-1),
@@ -278,6 +284,7 @@
 		known.Full = true
 		evs = append(evs, r.list(known))
 	}
+	evs = r.heardByHand(evs)
 	if r.parent != nil {
 		// The list first: what is remembered needs it.
 		r.carryOut(r.sender.Step(r.now(), evs), nil)
@@ -373,6 +380,7 @@
 		case e := <-r.events:
 			batch = append(batch, e)
 		case <-timer.C:
+		case <-r.byHand.changed:
 		case <-gauges.C:
 			r.publish() // a skip may have run out
 			continue
@@ -459,6 +467,7 @@
 			r.noSends = true
 		}
 	}
+	evs = r.heardByHand(evs)
 	r.forget()
 	waiting := r.accept(ins)
 	if !r.noSends {
@@ -747,12 +756,35 @@
 			r.routes[id] = t
 		}
 	}
+	ids := make([]string, 0, len(e.List))
+	for _, entry := range e.List {
+		ids = append(ids, entry.Route)
+	}
+	r.byHand.listed(ids, func(id string) bool { _, ok := r.routes[id]; return ok })
 	if len(r.routes) > 0 {
 		r.listed.Store(true)
 	}
 	return e
 }
 
+// heardByHand tells the module which endpoints were taken out by hand or put back since it last heard.
+func (r *Relay) heardByHand(evs []policy.Event) []policy.Event {
+	now := r.byHand.current()
+	for _, id := range slices.Sorted(maps.Keys(now)) {
+		if !r.barred[id] {
+			evs = append(evs, policy.Event{Kind: policy.Excluded, Route: id})
+			r.hosts.closeIdle(id)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.barred)) {
+		if !now[id] {
+			evs = append(evs, policy.Event{Kind: policy.Included, Route: id})
+		}
+	}
+	r.barred = now
+	return evs
+}
+
 // carryOut does what the module has decided: first in the log, in one write, then on the sockets.
 func (r *Relay) carryOut(acts []policy.Action, waiting []*handIn) {
 	answers := make(map[uint32]answer, len(waiting))
--- a/policy/api.go
+++ b/policy/api.go
@@ -95,6 +95,8 @@
 	ListFailed                   // a call for the list failed
 	Woken                        // a wake came due
 	Probed                       // a probe has its outcome
+	Excluded                     // an operator has taken Route out of use, until it is Included
+	Included                     // and put it back
 )
 
 // Report is what a destination tells of its limit. It is late and noisy.
@@ -130,7 +132,7 @@
 	Left        time.Duration // time left to the deadline
 	Resumed     *Resumed      // taken on by an earlier process; nil if new
 
-	// Finished, Probed
+	// Finished, Probed; of Excluded and Included Route alone
 	Attempt int
 	Route   string
 	Outcome Outcome
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -115,7 +115,7 @@
 	return &Sender{
 		set: set, rng: rand.New(rand.NewPCG(seed, 0x6f6e7978)),
 		routes: map[string]*route{}, least: map[int]float64{}, dests: map[int]*dest{},
-		scarce: map[int]time.Duration{}, msgs: map[uint32]*message{}, turns: map[string]*turn{},
+		barred: map[string]bool{}, scarce: map[int]time.Duration{}, msgs: map[uint32]*message{}, turns: map[string]*turn{},
 		shares: make([]bucket, len(set.Customers)),
 	}, nil
 }
@@ -163,6 +163,8 @@
 		}
 	case ListWhole, ListChanges:
 		s.list(e.List, e.Kind == ListWhole)
+	case Excluded, Included:
+		s.bar(e.Route, e.Kind == Excluded)
 	case ListFailed:
 		if s.set.AskList {
 			s.act(Action{Kind: Watch})
@@ -281,7 +283,7 @@
 // only an outcome can open it.
 func (s *Sender) opensAt(r *route) time.Duration {
 	g := r.gate
-	if !r.InService || r.Gone {
+	if !r.open() {
 		return math.MaxInt64
 	}
 	if r.down && len(r.calls) > 0 || s.crammed(r) {
@@ -630,7 +632,7 @@
 		}
 	}
 	// Rule 3: routes in service only.
-	if !r.InService || r.Gone || r.Destination != m.dest.id {
+	if !r.open() || r.Destination != m.dest.id {
 		return never
 	}
 	// Rule 6: the key's turn and its rest.
--- a/policy/resume.go
+++ b/policy/resume.go
@@ -41,19 +41,5 @@
 // was held up, by a slow connection say, while a drain or a wait was told.
 func (s *Sender) MayStill(route string, now time.Duration) bool {
 	r := s.routes[route]
-	return r != nil && r.InService && now >= r.gate.wait
-}
-
-// Avoided is how many listed routes take nothing for now, by choice.
-func (s *Sender) Avoided(now time.Duration) (n int) {
-	for _, d := range s.order {
-		for _, g := range d.gates {
-			for _, r := range g.routes {
-				if r.down || now < r.skipUntil {
-					n++
-				}
-			}
-		}
-	}
-	return n
+	return r != nil && r.open() && now >= r.gate.wait
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -47,6 +47,7 @@
 	calls     []*call       // out, in order of sending
 	skipUntil time.Duration // skipped by messages before this
 	skipLen   time.Duration // length of the last skip; 0 in good standing
+	barred    bool          // out of use by hand
 	down      bool          // skipped, and nothing delivered since
 	cold      bool          // may be in an outage or coming back from one
 	slight    bool          // on one failure alone: one delivery clears it
@@ -139,6 +140,7 @@
 	msgs     map[uint32]*message
 	turns    map[string]*turn
 	least    map[int]float64       // by kind: the least limit told
+	barred   map[string]bool       // out of use by hand, listed or not
 	scarce   map[int]time.Duration // by kind: connections are scarce until then
 	held     int
 	slots    int // used
@@ -252,7 +254,7 @@
 
 func (s *Sender) add(l Listing) {
 	d := s.destination(l.Destination)
-	r := &route{Listing: l, lot: s.rng.Uint64()}
+	r := &route{Listing: l, lot: s.rng.Uint64(), barred: s.barred[l.Route]}
 	s.routes[l.Route] = r
 	separate := l.Kind >= 0 && l.Kind < len(s.set.Kinds) && s.set.Kinds[l.Kind].Separate
 	if separate || len(d.gates) == 0 {
