--- a/policy/policy.go
+++ b/policy/policy.go
@@ -115,8 +115,8 @@
 	return &Sender{
 		set: set, rng: rand.New(rand.NewPCG(seed, 0x6f6e7978)),
 		routes: map[string]*route{}, least: map[int]float64{}, dests: map[int]*dest{},
-		barred: map[string]bool{}, scarce: map[int]time.Duration{}, msgs: map[uint32]*message{}, turns: map[string]*turn{},
-		shares: make([]bucket, len(set.Customers)),
+		scarce: map[int]time.Duration{}, msgs: map[uint32]*message{}, turns: map[string]*turn{},
+		shares: make([]bucket, len(set.Customers)), barred: map[string]bool{},
 	}, nil
 }
 
