Spread a fleet's calls for the list, and come again later where turned away

Causes weighed: a fixed number of watches (ruled out: all were let in once calls were rare), a told wait not heeded (ruled out: none is told), retries that keep discovery overrun (20 calls a second, all turned away, none let in). Tests: TestAFleetDoesNotCallAsOne fails without the spread or the longer pauses, TestAMoveEndsAPause without the look at the agent's move.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -23,12 +23,18 @@
 	retryMost     = time.Second
 	noticeTimeout = time.Second
 	fetchTimeout  = time.Second
-	noticeMost    = 256 // lines in a request
+	// Turned away calls are work for discovery too: a fleet that comes again at once keeps it from serving anyone.
+	awayFirst   = time.Second
+	awayMost    = 8 * time.Second
+	spreadFor   = 150 * time.Millisecond // for each relay of a fleet of spreadLeast or more
+	spreadLeast = 7
+	noticeMost  = 256 // lines in a request
 )
 
 var (
 	errMoved   = errors.New("discovery has another address now")
 	errTooLong = errors.New("list too long")
+	errAway    = errors.New("discovery turns this relay away")
 )
 
 // agent is discovery's agent, which another configuration may put at another address.
@@ -80,14 +86,22 @@
 	agent   *agent
 	silence time.Duration // a watch with no line for so long is dead: one comes every 2 s
 	told    func(List)
+	fleet   int            // relays that follow it
+	random  func() float64 // from 0 to 1
+	sleep   func(context.Context, time.Duration)
 
 	version int64 // of the list as told
+	held    bool  // the relay holds a list, however old
 	whole   bool  // changes alone won't do: the list is to be had whole
 }
 
 // run follows the list until ctx ends.
 func (w *watcher) run(ctx context.Context) {
-	pause := retryFirst
+	pause, away := retryFirst, awayFirst
+	if w.held {
+		// There is a list to go by. A fleet that starts together must not ask as one.
+		w.wait(ctx, w.spread())
+	}
 	for ctx.Err() == nil {
 		was := w.version
 		err := w.follow(ctx)
@@ -95,19 +109,46 @@
 			return
 		}
 		w.log.Warn("watch ended", "version", w.version, "err", err)
-		if errors.Is(err, errMoved) {
-			// Another agent need not number its versions alike. The old list serves until this one speaks.
-			w.whole, pause = true, retryFirst
-			continue
-		}
 		if w.version != was {
 			pause = retryFirst
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
+		switch {
+		case errors.Is(err, errMoved):
+			// Another agent need not number its versions alike. The old list serves until this one speaks.
+			w.whole, pause = true, retryFirst
+		case errors.Is(err, errAway):
+			w.wait(ctx, time.Duration((0.5+w.random())*float64(away))+w.spread())
+			away = min(awayMost, 2*away)
+		default:
+			w.wait(ctx, pause+w.spread())
+			pause, away = min(retryMost, 2*pause), awayFirst
 		}
-		pause = min(retryMost, 2*pause)
+	}
+}
+
+// spread is this relay's place among those of a large fleet that would call together.
+func (w *watcher) spread() time.Duration {
+	if w.fleet < spreadLeast {
+		return 0
+	}
+	return time.Duration(w.random() * float64(w.fleet) * float64(spreadFor))
+}
+
+// wait lets d pass; less if the agent moves.
+func (w *watcher) wait(ctx context.Context, d time.Duration) {
+	_, here, done := w.agent.here(ctx)
+	defer done()
+	w.sleep(here, d)
+	w.whole = w.whole || errors.Is(context.Cause(here), errMoved)
+}
+
+// sleep lets d pass; less if ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
@@ -203,6 +244,9 @@
 	}
 	if res.StatusCode != http.StatusOK {
 		res.Body.Close()
+		if res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests {
+			return nil, fmt.Errorf("%w: %s", errAway, res.Status)
+		}
 		return nil, fmt.Errorf("discovery answers %s", res.Status)
 	}
 	return res, nil
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -255,7 +255,7 @@
 	defer cancel()
 	w := watcher{
 		log: quiet(), agent: newAgent(addrOf(s)), silence: 50 * time.Millisecond, version: 4,
-		told: func(l List) { told <- l },
+		told: func(l List) { told <- l }, sleep: sleep,
 	}
 	go w.run(ctx)
 	for _, want := range []string{"4", "9"} {
@@ -270,6 +270,71 @@
 	}
 }
 
+// Calls that are turned away are work, too: a fleet spreads its calls, and comes again less and less often.
+func TestAFleetDoesNotCallAsOne(t *testing.T) {
+	for _, c := range []struct {
+		fleet int
+		held  bool
+		want  string
+	}{
+		{3, true, "[0s 1s 2s 4s 8s 8s 50ms 1s 100ms]"},
+		{40, true, "[3s 4s 5s 7s 11s 11s 3.05s 4s 3.1s]"},
+		{40, false, "[4s 5s 7s 11s 11s 3.05s 4s 3.1s]"}, // nothing to go by: no wait at first
+	} {
+		var calls atomic.Int32
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			if n := calls.Add(1); n != 6 && n != 8 { // those end with no answer
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}))
+		ctx, cancel := context.WithCancel(t.Context())
+		var pauses []time.Duration
+		w := watcher{
+			log: quiet(), agent: newAgent(addrOf(s)), silence: patience, fleet: c.fleet, held: c.held,
+			random: func() float64 { return 0.5 },
+			sleep: func(_ context.Context, d time.Duration) {
+				if pauses = append(pauses, d); calls.Load() == 8 {
+					cancel()
+				}
+			},
+		}
+		w.run(ctx)
+		cancel()
+		s.Close()
+		if got := fmt.Sprint(pauses); got != c.want {
+			t.Errorf("fleet of %d, list held %v: pauses %v, want %v", c.fleet, c.held, got, c.want)
+		}
+	}
+}
+
+// A move of the agent ends a pause: the new one may have news.
+func TestAMoveEndsAPause(t *testing.T) {
+	away := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer away.Close()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintln(w, `{"version":9,"full":true,"servers":[]}`)
+	}))
+	defer s.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	told, ended := make(chan List, 100), make(chan struct{})
+	agent := newAgent(addrOf(away))
+	w := watcher{
+		log: quiet(), agent: agent, silence: patience, version: 4, told: func(l List) { told <- l; cancel() },
+		random: func() float64 { return 0.5 },
+		sleep: func(here context.Context, _ time.Duration) {
+			agent.move(addrOf(s))
+			<-here.Done()
+		},
+	}
+	go func() { w.run(ctx); close(ended) }()
+	<-ended
+	if l := <-told; l.Version != 9 || !l.Full {
+		t.Errorf("told %+v", l)
+	}
+}
+
 // A line that cannot be read would come again and again if it were asked for by its version: the whole list makes up
 // for it, and changes that it holds already are not undone by older lines.
 func TestAnUnreadableLineIsMadeUpForByTheWholeList(t *testing.T) {
@@ -291,7 +356,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	defer func() { cancel(); <-ended }()
-	w := watcher{log: quiet(), agent: newAgent(addrOf(s)), silence: patience, version: 4, told: func(l List) { told <- l }}
+	w := watcher{log: quiet(), agent: newAgent(addrOf(s)), silence: patience, version: 4, told: func(l List) { told <- l }, sleep: sleep}
 	go func() { w.run(ctx); close(ended) }()
 	for _, want := range []int64{7, 8} {
 		select {
