Put a late message back by twice the time that it has left

Causes weighed: paces (ruled out: above the rates in use), failed calls (5%, they start the queue but do not keep it), late messages served before those still in time. Test: TestALateMessageWaitsOutTheQueue fails with one half.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -55,7 +55,7 @@
 	gateShare    = 0.4                     // share of the slots that one gate may fill
 	firstCalls   = 2                       // calls out at a route that has not answered yet
 	overShare    = 0.5                     // of its time left: how much later traffic over its share queues
-	lateShare    = 0.5                     // of its time left: how much later a message past its aim queues
+	lateShare    = 2.0                     // of its time left: how much later a message past its aim queues
 	scanDepth    = 24                      // messages of a destination looked at for one that may go
 	aliveSpan    = 3 * time.Second         // a route that answered within this is alive
 	retryAdvice  = 500 * time.Millisecond  // least advice with a refusal
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -793,6 +793,19 @@
 	}
 }
 
+// While slots are short, what is late already keeps nothing from being in time, for as long as it has.
+func TestALateMessageWaitsOutTheQueue(t *testing.T) {
+	d := newDesk(t, settings())
+	d.take(1, 0)
+	d.wake(3 * time.Second)
+	d.wake(37 * time.Second)
+	d.take(2, 0)
+	acts := d.step(Event{Kind: ListChanges, List: []Listing{{Route: "a", InService: true}}})
+	if len(acts) != 2 || acts[0].ID != 2 || acts[1].ID != 1 {
+		t.Errorf("order of sends: %+v", acts)
+	}
+}
+
 func TestNewRefusesSettingsWithoutSense(t *testing.T) {
 	for name, spoil := range map[string]func(*Settings){
 		"no class":       func(s *Settings) { s.Classes = nil },
