--- a/policy/slots.go
+++ b/policy/slots.go
@@ -20,12 +20,15 @@
 }
 
 // slotTime is what each message of a destination's next call takes of a slot, weighted; 0 where slots have no end.
+// Time-outs raise a route's mean far over what it takes once it has recovered, and only calls can show that it has: the
+// time counts up to leastExpect, so that nobody is put off for good.
 func (s *Sender) slotTime(d *dest) time.Duration {
 	if s.set.Slots <= 0 {
 		return 0
 	}
 	carries := max(1, min(s.room(d.candRt), len(d.queue)))
-	return time.Duration(slotWeight * float64(cmp.Or(d.candRt.mean, leastExpect)) / float64(carries))
+	takes := min(cmp.Or(d.candRt.mean, leastExpect), leastExpect)
+	return time.Duration(slotWeight * float64(takes) / float64(carries))
 }
 
 // room is how many messages a call to a route may carry. They share one fate: after a failure it carries one.
--- a/policy/slots_test.go
+++ b/policy/slots_test.go
@@ -52,3 +52,15 @@
 		t.Errorf("of three in a call each takes %v, one alone %v", got, one)
 	}
 }
+
+// A mean that time-outs have raised says little of a route that has recovered: what waits for it is not put off for good.
+func TestASlowMeanPutsOffForSoLong(t *testing.T) {
+	d := oneSlot(t, 0)
+	d.s.routes["slow"].mean = 5 * time.Second
+	d.to(4, 1)
+	d.now += 4 * time.Second
+	d.to(5, 2)
+	if got := goesTo(d.end(3, "slow", OK, 100*ms, 0)); got != "slow" {
+		t.Errorf("after a long wait the slot goes to %q", got)
+	}
+}
