Ask for the list within 250 ms of a start, at any size of the fleet

Ruled out: being turned away (no such line), news that came late (a relay with a watch had it within 80 ms).

At fault: watcher.run and spread in internal/relay/discovery.go, which put the first call off by up to 150 ms for each relay of the fleet, 45 s at 297.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -28,7 +28,11 @@
 	awayMost    = 8 * time.Second
 	spreadFor   = 150 * time.Millisecond // for each relay of a fleet of spreadLeast or more
 	spreadLeast = 7
-	noticeMost  = 256 // lines in a request
+	spreadMost  = 6 * time.Second // whatever the list has to tell counts as told by then
+	// What the agent has counts as told at once: half of the time in which a drain is to be heeded is for asking.
+	askWithin  = 250 * time.Millisecond
+	servedFor  = 2   // empty lines, one every 2 s, after which a watch was served, not ended as one too many
+	noticeMost = 256 // lines in a request
 )
 
 var (
@@ -93,6 +97,7 @@
 	version int64 // of the list as told
 	held    bool  // the relay holds a list, however old
 	whole   bool  // changes alone won't do: the list is to be had whole
+	served  bool  // the last watch was
 }
 
 // run follows the list until ctx ends.
@@ -100,7 +105,7 @@
 	pause, away := retryFirst, awayFirst
 	if w.held {
 		// There is a list to go by. A fleet that starts together must not ask as one.
-		w.wait(ctx, w.spread())
+		w.wait(ctx, w.spread(askWithin))
 	}
 	for ctx.Err() == nil {
 		was := w.version
@@ -112,26 +117,30 @@
 		if w.version != was {
 			pause = retryFirst
 		}
+		soon := spreadMost
+		if w.served {
+			pause, soon = retryFirst, askWithin
+		}
 		switch {
 		case errors.Is(err, errMoved):
 			// Another agent need not number its versions alike. The old list serves until this one speaks.
 			w.whole, pause = true, retryFirst
 		case errors.Is(err, errAway):
-			w.wait(ctx, time.Duration((0.5+w.random())*float64(away))+w.spread())
+			w.wait(ctx, time.Duration((0.5+w.random())*float64(away))+w.spread(spreadMost))
 			away = min(awayMost, 2*away)
 		default:
-			w.wait(ctx, pause+w.spread())
+			w.wait(ctx, pause+w.spread(soon))
 			pause, away = min(retryMost, 2*pause), awayFirst
 		}
 	}
 }
 
-// spread is this relay's place among those of a large fleet that would call together.
-func (w *watcher) spread() time.Duration {
+// spread is this relay's place, within most, among those of a large fleet that would call together.
+func (w *watcher) spread(most time.Duration) time.Duration {
 	if w.fleet < spreadLeast {
 		return 0
 	}
-	return time.Duration(w.random() * float64(w.fleet) * float64(spreadFor))
+	return time.Duration(w.random() * float64(min(most, time.Duration(w.fleet)*spreadFor)))
 }
 
 // wait lets d pass; less if the agent moves.
@@ -157,6 +166,7 @@
 func (w *watcher) follow(ctx context.Context) error {
 	addr, ctx, done := w.agent.here(ctx)
 	defer done()
+	w.served = false
 	err := w.stream(ctx, addr)
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
@@ -179,6 +189,7 @@
 	defer res.Body.Close()
 	lines := bufio.NewScanner(res.Body)
 	lines.Buffer(nil, watchLineMost)
+	empty := 0
 	fetched := int64(math.MinInt64) // changes up to this version are in the whole list that was fetched meanwhile
 	for lines.Scan() {
 		silence.Reset(w.silence)
@@ -191,6 +202,8 @@
 			} else if l.Full || l.Version > fetched {
 				w.take(l)
 			}
+		} else if empty++; empty >= servedFor {
+			w.served = true
 		}
 		if w.whole && w.fetch(ctx, addr) == nil {
 			fetched = w.version
