Read an answer that came as its call was given up

What is left is an answer that the relay has and does not read: past a deadline Go's Read fails at once, and readAnswer in internal/relay/hosts.go asked once.

The test fails without the second look.

--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -10,6 +10,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -26,6 +27,8 @@
 	// wholeFor bounds how long an answer may take from its first byte to its last. Guards against heads and bodies
 	// that do not end.
 	wholeFor = 500 * time.Millisecond
+	// lastLook is for an answer that came as its call was given up: long enough to read what is there.
+	lastLook = time.Millisecond
 	// reportMost bounds what a host may tell of its limit.
 	reportMost = 1e9
 	informMost = 16 // 1xx answers before one
@@ -159,7 +162,13 @@
 // readAnswer reads an answer, to several messages or to one.
 func readAnswer(conn *hostConn, req *http.Request, several bool) (a hostAnswer) {
 	conn.allow(headMost)
-	if _, a.err = conn.r.Peek(1); a.err != nil {
+	_, a.err = conn.r.Peek(1)
+	if errors.Is(a.err, os.ErrDeadlineExceeded) {
+		// Past a deadline nothing is read, not even what is there: a wait that it tells binds all the same.
+		conn.SetReadDeadline(time.Now().Add(lastLook))
+		_, a.err = conn.r.Peek(1)
+	}
+	if a.err != nil {
 		return a
 	}
 	// Where the call ended this very moment, this takes the place of its deadline, and it ends so much later.
--- a/internal/relay/hosts_test.go
+++ b/internal/relay/hosts_test.go
@@ -14,6 +14,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -231,6 +232,42 @@
 	}
 }
 
+// An answer that came as its call was given up once lay unread, and a wait that it told was not heeded.
+func TestAnAnswerThatCameByTheTimeOutIsRead(t *testing.T) {
+	addr, _ := rawHost(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		fmt.Fprint(conn, "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\nRetry-After: 0.612\r\n\r\n")
+		return true
+	})
+	h := testHosts(t, testConfig())
+	conn, _, err := h.get(t.Context(), peer{"a", addr})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.drop()
+	c := newCall(addr, "a")
+	req, err := newRequest(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := writeRequest(conn, req); err != nil {
+		t.Fatal(err)
+	}
+	raw, err := conn.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := raw.Read(func(fd uintptr) bool { // until it is there
+		n, _, _ := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return n > 0
+	}); err != nil {
+		t.Fatal(err)
+	}
+	conn.SetDeadline(longAgo)
+	if a := readAnswer(conn, req, false); a.err != nil || h.told(a.head).wait != 612*time.Millisecond {
+		t.Errorf("answer %+v", a)
+	}
+}
+
 func TestACallIsLookedAtAgainOnceItsConnectionIsUp(t *testing.T) {
 	addr, requests := rawHost(t, func(_ int, conn net.Conn, _ *http.Request) bool {
 		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
