Halve a refused sparse sender's pace from its part of the limit

Partner 5, limit 40.9, took nothing from second 3 to 9 while 65 calls a second came. Paces of sparse senders stood at 0.25 and 0.5 calls a second, where their part of the limit was 0.09 to 0.2.

At fault: halve in policy/pace.go. The count of the last second is 1 for a sender with a call every five seconds, and half of it, at 297 senders, is 148 calls a second; refused calls use the limit up.

Ruled out: pauses after refusals that are too long.

--- a/policy/pace.go
+++ b/policy/pace.go
@@ -14,6 +14,10 @@
 	if g.pace > 0 {
 		rate = math.Min(rate, g.pace)
 	}
+	// One call in the last second is no rate: halved, it is still several times what hundreds of senders may add up to.
+	if s.limit(g) > 0 && s.sparse(g) {
+		rate = math.Min(rate, 2*s.part(g))
+	}
 	least := s.floor(g)
 	g.ceiling, g.under, g.pace = math.Max(rate, least), s.limit(g), math.Max(rate/2, least)
 	g.tokens, g.tokensAt, g.halvedAt, g.guessed = 0, s.now, s.now, false
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -244,6 +244,24 @@
 	}
 }
 
+// Half of one call a second, at each of hundreds of senders refused, once was several times what the limit takes.
+func TestRefusedSparseSendersAddUpToTheLimit(t *testing.T) {
+	const limit, senders = 40, 300
+	set := settings()
+	set.Senders, set.NoWeights = senders, true
+	sum := 0.0
+	for range senders {
+		d := newDesk(t, set, Listing{Route: "a", Kind: 1})
+		d.take(1, 0)
+		d.now += 100 * ms
+		d.step(Event{Kind: Finished, ID: 1, Route: "a", Outcome: Full, Report: Report{Told: true, Limit: limit}})
+		sum += d.s.routes["a"].gate.pace
+	}
+	if sum > limit || sum < limit*paceSure {
+		t.Errorf("paces add up to %.1f calls a second after a refusal each, under a limit of %d", sum, limit)
+	}
+}
+
 // A pace once crawled near a rate that was refused while the limit was low, long after a higher one was told.
 func TestPaceCreepsAgainUnderAHigherLimit(t *testing.T) {
 	for _, c := range []struct{ limit, growth float64 }{{4, paceCrawl}, {16, paceCreep}} {
