Raise a sparse sender's pace to its part of the limit with a delivery

From second 15 on there were 30 refusals by partners in a second, fleet-wide, and still 29% of the requests refused. Partner 1, two routes with limits of 33.6 and 34.2, took ok/s [19, 26, 28, 0, 2, 4, 7, 11, 9, 12, 17] full/s [0, 0, 12, 60, 19, 0, 0, 0, 0, 0, 0] (spans of 3 s) with paces at 0.03 to 0.1 calls a second.

At fault: creep in policy/pace.go, which grows a pace by 3% a delivery near the rate that was refused last. That rate says nothing at a sender refused together with hundreds of others, and its deliveries are 5 to 10 s apart.

Ruled out: doubt (two thirds of those refused had no route in doubt); the debt after a refusal (2 calls for 3.5: 0.59).

--- a/policy/pace.go
+++ b/policy/pace.go
@@ -49,7 +49,12 @@
 		near *= l / g.under
 		g.pace = math.Max(g.pace, s.floor(g))
 	}
-	if g.ceiling > 0 && g.pace > near {
+	switch {
+	case s.limit(g) > 0 && s.sparse(g):
+		// Refused with hundreds of others, not for its own rate: that says nothing of what it may send now, and parts
+		// add up to the limit.
+		g.pace = math.Max(g.pace, s.part(g))
+	case g.ceiling > 0 && g.pace > near:
 		growth = 1 + paceCrawl
 	}
 	// Where successes are seconds apart, each counts for the seconds that it stands for.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -262,6 +262,31 @@
 	}
 }
 
+// A sparse sender refused twice once crawled far under its part of the limit, long after the others had their share.
+func TestADeliveryTakesASparsePaceToItsPart(t *testing.T) {
+	set := settings()
+	set.Senders, set.NoWeights = 300, true
+	d := newDesk(t, set, Listing{Route: "a", Kind: 1})
+	r := d.s.routes["a"]
+	d.s.now = d.now
+	d.s.report(r, Report{Told: true, Limit: 40})
+	for range 2 {
+		d.s.now += time.Second
+		d.s.halve(r, sample{outcome: Full, sent: d.s.now})
+	}
+	g := r.gate
+	if g.pace >= d.s.part(g) {
+		t.Fatalf("pace %v after two refusals, its part is %v", g.pace, d.s.part(g))
+	}
+	for range 2 {
+		d.s.now += time.Second
+		was := d.s.part(g)
+		if d.s.creep(g); g.pace < was*(1+paceCreep) {
+			t.Errorf("pace %v after a delivery, want %v or more", g.pace, was*(1+paceCreep))
+		}
+	}
+}
+
 // A pace once crawled near a rate that was refused while the limit was low, long after a higher one was told.
 func TestPaceCreepsAgainUnderAHigherLimit(t *testing.T) {
 	for _, c := range []struct{ limit, growth float64 }{{4, paceCrawl}, {16, paceCreep}} {
