Tell lost answers from slow ones, and hold no slot past the usual answer under pressure

Each partner's state and each call logged second by second: from second 5 a third of the answers get lost, all 24 slots of both relays are in use from second 6 on, and lost calls hold 632 of 778 slot seconds from 5 to 22.

At fault: learn, which took a lost answer for a slow one, so that each further loss held a slot up to 6 s; room, which put five messages into a call of which 83% got no answer, where 30% of single ones got none; cutAt, which waits up to twice an aim for the last slot however many messages wait.

Change: a time-out says nothing of a route that has answered since the call was sent; calls carry one message while such losses are among a route's last eight outcomes; a call that takes the last slot under a backlog waits for the usual answer.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -349,8 +349,13 @@
 		if o.outcome == Timeout || o.outcome == Reset {
 			// Calls may be lost with the connection that carries them: the next one takes a fresh one.
 			s.act(Action{Kind: CloseIdle, Route: r.Route})
-			// A later call was answered, or the route lives: this one says nothing of its standing.
-			if r.okSent >= o.sent || o.outcome == Reset && s.alive(r) {
+			// The route lives, or has answered since: this call was lost, and says nothing of the route's
+			// standing or of how long answers take. Learned from, each further loss would hold a slot longer.
+			if o.outcome == Reset && s.alive(r) {
+				return
+			}
+			if r.okAt > o.sent {
+				r.lost = r.lost<<1 | 1
 				return
 			}
 		}
@@ -465,7 +470,7 @@
 func (s *Sender) delivered(r *route, sent, took time.Duration) {
 	g := r.gate
 	r.okAt, r.okSent, r.streak, r.refusals = s.now, max(r.okSent, sent), 0, 0
-	r.recent, g.streak, g.tights = r.recent<<1, 0, 0
+	r.recent, r.lost, g.streak, g.tights = r.recent<<1, r.lost<<1, 0, 0
 	s.answered(r, took)
 	s.settle(g)
 	if r.down {
@@ -821,6 +826,9 @@
 	if r.down {
 		usual = m.class.Aim / 2
 	}
+	if s.pressed() {
+		return s.now + min(left, usual, s.expect(r, devs))
+	}
 	if m.class.Effect == Unsafe {
 		return s.now + min(left, 2*usual)
 	}
--- a/policy/slots.go
+++ b/policy/slots.go
@@ -31,9 +31,18 @@
 	return time.Duration(slotWeight * float64(takes) / float64(carries))
 }
 
-// room is how many messages a call to a route may carry. They share one fate: after a failure it carries one.
+// pressed tells whether a call that goes out now takes the last slot while as many messages wait, at least, as there are
+// slots. Then a call waits for its answer no longer than answers take at its route: what a slot could carry meanwhile is
+// worth more than the few answers that are later still. Guards against answers that get lost for a while, which would
+// have every slot wait out its time.
+func (s *Sender) pressed() bool {
+	return s.set.Slots > 0 && s.slots+1 >= s.set.Slots && s.held >= 2*s.set.Slots
+}
+
+// room is how many messages a call to a route may carry. They share one fate: after a failure, or while answers of the
+// route get lost, it carries one.
 func (s *Sender) room(r *route) int {
-	if r.Kind >= 0 && r.Kind < len(s.set.Kinds) && r.streak == 0 && !r.down {
+	if r.Kind >= 0 && r.Kind < len(s.set.Kinds) && r.streak == 0 && !r.down && r.lost == 0 {
 		return max(1, s.set.Kinds[r.Kind].PerCall)
 	}
 	return 1
--- a/policy/state.go
+++ b/policy/state.go
@@ -55,6 +55,7 @@
 	run       int           // deliveries in a row since the last doubt
 	streak    int           // failures in a row
 	recent    uint8         // last 8 deliveries, errors and failed connections, a bit set for a failure
+	lost      uint8         // last 8 deliveries and calls without an answer, a bit set for one of these
 	refusals  int           // refusals since the last other answer
 	refusedAt time.Duration // the first of them
 	okAt      time.Duration // last delivery
