--- /dev/null
+++ b/cmd/testbed/run.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"onyxroad.dev/onyxroad/internal/testbed/build"
+	"onyxroad.dev/onyxroad/internal/testbed/experiment"
+	"onyxroad.dev/onyxroad/internal/testbed/report"
+	"onyxroad.dev/onyxroad/internal/testbed/run"
+)
+
+type runCmd struct {
+	Experiments []string `arg:"" type:"existingfile" help:"The experiments' files."`
+	Seed        []uint64 `default:"1" help:"What all is drawn from; several are played one after another."`
+	Quick       bool     `help:"The shorter, smaller play: within 50 s."`
+	Relays      float64  `help:"So many relays, whatever the file says."`
+	Build       string   `type:"existingdir" help:"Folder with a built relay, instead of building the work as it stands."`
+	Out         string   `default:"results" help:"Folder for the results: each run gets one of its own in it."`
+	Report      bool     `help:"Write a report, too."`
+}
+
+func (c *runCmd) Run(ctx context.Context) error {
+	program, revision, err := relayProgram(ctx, c.Build, c.Out)
+	if err != nil {
+		return err
+	}
+	broken := false
+	for _, path := range c.Experiments {
+		x, err := experiment.Read(path)
+		if err != nil {
+			return err
+		}
+		if c.Relays > 0 {
+			x.Fleet.Relays = experiment.Of(c.Relays, c.Relays)
+			x.Fleet.QuickRelays = x.Fleet.Relays
+		}
+		for _, seed := range c.Seed {
+			out := filepath.Join(c.Out, fmt.Sprintf("%s-%d", x.Name, seed))
+			r, err := run.Run(ctx, run.Options{Experiment: x, Seed: seed, Quick: c.Quick, Program: program, Revision: revision, Out: out,
+				Progress: progress()})
+			if err != nil {
+				return err
+			}
+			tell(os.Stdout, r)
+			if c.Report {
+				if err := report.Write(out); err != nil {
+					return err
+				}
+				fmt.Println("report:", filepath.Join(out, "report.md"))
+			}
+			broken = broken || !r.OK()
+		}
+	}
+	if broken {
+		return errBroken
+	}
+	return nil
+}
+
+// relayProgram is the relay to play: one that is built, or the work as it stands.
+func relayProgram(ctx context.Context, built, out string) (program, revision string, err error) {
+	if built != "" {
+		for _, path := range []string{filepath.Join(built, build.Relay), filepath.Join(built, "bin", build.Relay)} {
+			if _, err := os.Stat(path); err == nil {
+				path, err = filepath.Abs(path)
+				return path, "built", err
+			}
+		}
+		return "", "", fmt.Errorf("no %s in %s", build.Relay, built)
+	}
+	root, err := build.Root(".")
+	if err != nil {
+		return "", "", err
+	}
+	return build.Work(ctx, root, filepath.Join(out, "bin"))
+}
+
+// progress is where progress lines go: nowhere if nobody watches.
+func progress() io.Writer {
+	if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
+		return os.Stderr
+	}
+	return nil
+}
+
+// tell prints a result.
+func tell(w io.Writer, r *run.Result) {
+	f := r.Figures
+	fmt.Fprintf(w, "%s seed %d, %d relays, %.0f messages, revision %s\n", r.Experiment, r.Seed, r.Relays, f["messages"], r.Revision)
+	fmt.Fprintf(w, "  served worth %.3f (worst 10 s %.3f, worst class %.3f, worst customer %.3f), goal %.3f\n", f["served"],
+		f["served_worst_10s"], f["served_worst_class"], f["served_worst_customer"], f["goal"])
+	fmt.Fprintf(w, "  in time %.1f%%, late %.1f%%, refused %.1f%%, failed %.1f%%, no answer %.1f%%; p50 %.0f ms, p99 %.0f ms\n", 100*f["in_time"],
+		100*f["late"], 100*f["refused"], 100*f["failed"], 100*f["unanswered"], f["p50_ms"], f["p99_ms"])
+	fmt.Fprintf(w, "  a message: %.2f calls, %.2f refused, %.3f handshakes; memory %.1f MB, clients late %.1f ms at p99\n", f["calls"],
+		f["calls_refused"], f["handshakes"], f["memory_mb"], f["lateness_p99_ms"])
+	for _, b := range r.Bounds {
+		mark := "ok    "
+		if !b.OK {
+			mark = "BROKEN"
+		}
+		fmt.Fprintf(w, "  %s %s %.4g %s %g\n", mark, b.Name, b.Value, b.Op, b.Limit)
+	}
+	for i, b := range r.Breaches {
+		if i == 10 {
+			fmt.Fprintf(w, "  ... %.0f in all\n", f["broken_rules"])
+			break
+		}
+		fmt.Fprintf(w, "  rule %s at %.2f s by %s: %s\n", b.Rule, b.At.Seconds(), b.Relay, b.What)
+	}
+}
+
+type reportCmd struct {
+	Dir string `arg:"" type:"existingdir" help:"A run's folder."`
+}
+
+func (c *reportCmd) Run() error {
+	if err := report.Write(c.Dir); err != nil {
+		return err
+	}
+	fmt.Println(filepath.Join(c.Dir, "report.md"))
+	return nil
+}
+
+type compareCmd struct {
+	Experiment string   `arg:"" type:"existingfile" help:"The experiment's file."`
+	Base       string   `required:"" help:"The revision to compare with."`
+	With       string   `help:"The other revision; none: the work as it stands."`
+	Plays      int      `default:"5" help:"How often each is played, every time with another seed."`
+	Seed       uint64   `default:"1" help:"The first seed."`
+	Quick      bool     `help:"The shorter, smaller plays."`
+	Out        string   `default:"results" help:"Folder for the results."`
+	Figures    []string `default:"goal,served,served_worst_10s,p99_ms,calls,calls_refused" help:"The figures to compare."`
+}
+
+func (c *compareCmd) Run(ctx context.Context) error {
+	x, err := experiment.Read(c.Experiment)
+	if err != nil {
+		return err
+	}
+	root, err := build.Root(".")
+	if err != nil {
+		return err
+	}
+	type side struct {
+		name, program, revision string
+		results                 []*run.Result
+	}
+	sides := []*side{{name: "base"}, {name: "with"}}
+	if sides[0].program, sides[0].revision, err = build.Revision(ctx, root, c.Base, "", filepath.Join(c.Out, "base")); err != nil {
+		return err
+	}
+	if c.With == "" {
+		sides[1].program, sides[1].revision, err = build.Work(ctx, root, filepath.Join(c.Out, "with"))
+	} else {
+		sides[1].program, sides[1].revision, err = build.Revision(ctx, root, c.With, "", filepath.Join(c.Out, "with"))
+	}
+	if err != nil {
+		return err
+	}
+	for i := range c.Plays {
+		order := slices.Clone(sides)
+		if i%2 == 1 {
+			slices.Reverse(order) // whatever drifts strikes both alike
+		}
+		for _, s := range order {
+			seed := c.Seed + uint64(i)
+			out := filepath.Join(c.Out, fmt.Sprintf("compare-%s-%s-%d", x.Name, s.name, seed))
+			r, err := run.Run(ctx, run.Options{Experiment: x, Seed: seed, Quick: c.Quick, Program: s.program, Revision: s.revision, Out: out,
+				Progress: progress()})
+			if errors.Is(err, run.ErrInvalid) {
+				return fmt.Errorf("%s, play %d: %w", s.revision, i+1, err)
+			} else if err != nil {
+				return err
+			}
+			s.results = append(s.results, r)
+			fmt.Printf("%s %s seed %d: goal %.3f, served %.3f, %.0f rules broken\n", s.name, s.revision, seed, r.Figures["goal"],
+				r.Figures["served"], r.Figures["broken_rules"])
+		}
+	}
+	for _, name := range c.Figures {
+		var values [2][]float64
+		for i, s := range sides {
+			for _, r := range s.results {
+				v, ok := r.Figures[name]
+				if !ok {
+					return fmt.Errorf("no run measures %q", name)
+				}
+				values[i] = append(values[i], v)
+			}
+		}
+		fmt.Println(run.Compare(name, sides[0].revision, sides[1].revision, values[0], values[1]))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/testbed/build/build.go
@@ -0,0 +1,96 @@
+// Package build makes the relay's program from a revision of this project, or from the work as it stands.
+package build
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+)
+
+// Relay is the relay's package, and its program's name.
+const Relay = "cherrytrestle"
+
+// Root is the repository's root above a folder.
+func Root(from string) (string, error) {
+	dir, err := filepath.Abs(from)
+	if err != nil {
+		return "", fmt.Errorf("build: %w", err)
+	}
+	for ; ; dir = filepath.Dir(dir) {
+		if _, err := os.Stat(filepath.Join(dir, "go.mod")); err == nil {
+			return dir, nil
+		}
+		if dir == filepath.Dir(dir) {
+			return "", errors.New("build: no go.mod here or above; run inside the repository, or name programs with --build")
+		}
+	}
+}
+
+// Work builds the work as it stands into a folder and returns the program's path and the revision, with + behind it where
+// the work differs.
+func Work(ctx context.Context, root, into string) (program, revision string, err error) {
+	revision = "unknown"
+	if head, err := git(ctx, root, "rev-parse", "--short", "HEAD"); err == nil {
+		revision = head
+		if status, err := git(ctx, root, "status", "--porcelain", "--", "*.go", "go.mod"); err != nil || status != "" {
+			revision += "+"
+		}
+	}
+	program, err = compile(ctx, root, into)
+	return program, revision, err
+}
+
+// Revision builds a revision into a folder, in a work tree of its own that is gone afterwards. patch, if not "", is a
+// file that is applied to it first.
+func Revision(ctx context.Context, root, rev, patch, into string) (program, revision string, err error) {
+	if revision, err = git(ctx, root, "rev-parse", "--short", rev+"^{commit}"); err != nil {
+		return "", "", err
+	}
+	tree, err := os.MkdirTemp("", "testbed-tree-")
+	if err != nil {
+		return "", "", fmt.Errorf("build: %w", err)
+	}
+	defer os.RemoveAll(tree)
+	if _, err := git(ctx, root, "worktree", "add", "--quiet", "--detach", "--force", tree, revision); err != nil {
+		return "", "", err
+	}
+	defer git(context.WithoutCancel(ctx), root, "worktree", "remove", "--force", tree)
+	if patch != "" {
+		if _, err := git(ctx, tree, "apply", patch); err != nil {
+			return "", "", err
+		}
+	}
+	program, err = compile(ctx, tree, into)
+	return program, revision, err
+}
+
+func compile(ctx context.Context, tree, into string) (string, error) {
+	into, err := filepath.Abs(into)
+	if err != nil {
+		return "", fmt.Errorf("build: %w", err)
+	}
+	if err := os.MkdirAll(into, 0o755); err != nil {
+		return "", fmt.Errorf("build: %w", err)
+	}
+	program := filepath.Join(into, Relay)
+	cmd := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-ldflags=-linkmode=external", "-o", program, "./cmd/"+Relay)
+	cmd.Dir, cmd.Env = tree, append(os.Environ(), "CGO_ENABLED=1")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, strings.TrimSpace(string(out)))
+	}
+	return program, nil
+}
+
+func git(ctx context.Context, dir string, args ...string) (string, error) {
+	cmd := exec.CommandContext(ctx, "git", args...)
+	cmd.Dir = dir
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: git %s: %w: %s", args[0], err, strings.TrimSpace(string(out)))
+	}
+	return strings.TrimSpace(string(out)), nil
+}
--- /dev/null
+++ b/internal/testbed/network/forward.go
@@ -0,0 +1,232 @@
+package network
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// flowIdle is how long a datagram's sender is remembered after its last one, so that answers find back to it.
+const flowIdle = 30 * time.Second
+
+// Forwarder carries UDP or TCP between processes that cannot be told to wait on a Path: peers speak to its address
+// instead of to the target's, and each of them has the path that Choose gives.
+type Forwarder struct {
+	Target string
+	// Choose gives the path of a peer by its address; nil turns the peer away.
+	Choose func(from netip.AddrPort) *Path
+
+	cancel context.CancelFunc
+	closer io.Closer
+	addr   net.Addr
+	done   sync.WaitGroup
+
+	mu    sync.Mutex
+	flows map[netip.AddrPort]*flow
+}
+
+// flow is what goes between one sender of datagrams and the target.
+type flow struct {
+	conn *net.UDPConn // towards the target
+	path *Path
+	used time.Time
+}
+
+// ForwardTCP serves TCP at addr.
+func (f *Forwarder) ForwardTCP(addr string) error {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return fmt.Errorf("network: forward: %w", err)
+	}
+	ctx := f.begin(l, l.Addr())
+	f.done.Go(func() {
+		for {
+			c, err := l.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil {
+				time.Sleep(time.Millisecond) // short of descriptors, say
+				continue
+			}
+			f.done.Go(func() { f.carry(ctx, c) })
+		}
+	})
+	return nil
+}
+
+func (f *Forwarder) begin(c io.Closer, addr net.Addr) context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.cancel, f.closer, f.addr = cancel, c, addr
+	return ctx
+}
+
+// Addr is where peers find the forwarder.
+func (f *Forwarder) Addr() string { return f.addr.String() }
+
+// Close ends it and all that it carries.
+func (f *Forwarder) Close() {
+	f.cancel()
+	f.closer.Close()
+	f.mu.Lock()
+	for _, x := range f.flows {
+		x.conn.Close()
+	}
+	f.mu.Unlock()
+	f.done.Wait()
+}
+
+// carry is one TCP connection.
+func (f *Forwarder) carry(ctx context.Context, near net.Conn) {
+	defer near.Close()
+	path := f.Choose(near.RemoteAddr().(*net.TCPAddr).AddrPort())
+	if path == nil || path.Resets(Out) {
+		Reset(near)
+		return
+	}
+	if path.Pass(ctx, Out) != nil {
+		return
+	}
+	far, err := (&net.Dialer{}).DialContext(ctx, "tcp4", f.Target)
+	if err != nil {
+		Reset(near)
+		return
+	}
+	defer far.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { near.Close(); far.Close() })
+	defer stop()
+	var both sync.WaitGroup
+	both.Go(func() { defer cancel(); pipe(ctx, far, near, path, Out) })
+	both.Go(func() { defer cancel(); pipe(ctx, near, far, path, Back) })
+	both.Wait()
+}
+
+// pipe carries one direction, each piece as late as the path says and none before the one ahead of it.
+func pipe(ctx context.Context, to io.Writer, from io.Reader, path *Path, d Direction) {
+	type piece struct {
+		data []byte
+		at   time.Time
+	}
+	pieces := make(chan piece, 256)
+	go func() {
+		defer close(pieces)
+		for {
+			buf := make([]byte, 16<<10)
+			n, err := from.Read(buf)
+			if n > 0 {
+				select {
+				case pieces <- piece{buf[:n], time.Now()}:
+				case <-ctx.Done():
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for p := range pieces {
+		// What queued up behind an earlier piece has had a part of its delay.
+		c := path.Conditions(d)
+		if Sleep(ctx, c.Delay-time.Since(p.at)) != nil || path.open(ctx, d) != nil {
+			return
+		}
+		if _, err := to.Write(p.data); err != nil {
+			return
+		}
+	}
+}
+
+// ForwardUDP serves UDP at addr. The target sees each peer at an address of the forwarder's.
+func (f *Forwarder) ForwardUDP(addr string) error {
+	a, err := net.ResolveUDPAddr("udp4", addr)
+	if err != nil {
+		return fmt.Errorf("network: forward: %w", err)
+	}
+	target, err := net.ResolveUDPAddr("udp4", f.Target)
+	if err != nil {
+		return fmt.Errorf("network: forward: %w", err)
+	}
+	near, err := net.ListenUDP("udp4", a)
+	if err != nil {
+		return fmt.Errorf("network: forward: %w", err)
+	}
+	f.flows = map[netip.AddrPort]*flow{}
+	ctx := f.begin(near, near.LocalAddr())
+	f.done.Go(func() {
+		buf := make([]byte, 64<<10)
+		for {
+			n, from, err := near.ReadFromUDPAddrPort(buf)
+			if err != nil {
+				return
+			}
+			if x := f.flow(ctx, near, from, target); x != nil {
+				later(ctx, x.path, Out, buf[:n], func(b []byte) { x.conn.Write(b) })
+			}
+		}
+	})
+	return nil
+}
+
+// flow finds or begins the flow of a sender; nil if it is turned away.
+func (f *Forwarder) flow(ctx context.Context, near *net.UDPConn, from netip.AddrPort, target *net.UDPAddr) *flow {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	x := f.flows[from]
+	if x != nil {
+		x.used = time.Now()
+		return x
+	}
+	for a, old := range f.flows {
+		if time.Since(old.used) > flowIdle {
+			old.conn.Close()
+			delete(f.flows, a)
+		}
+	}
+	path := f.Choose(from)
+	if path == nil || ctx.Err() != nil {
+		return nil
+	}
+	c, err := net.DialUDP("udp4", nil, target)
+	if err != nil {
+		return nil
+	}
+	x = &flow{conn: c, path: path, used: time.Now()}
+	f.flows[from] = x
+	f.done.Go(func() {
+		buf := make([]byte, 64<<10)
+		for {
+			n, err := c.Read(buf)
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err == nil { // an error else tells that the target is not there just now
+				later(ctx, path, Back, buf[:n], func(b []byte) { near.WriteToUDPAddrPort(b, from) })
+			}
+		}
+	})
+	return x
+}
+
+// later has the copies of a datagram that arrive written when they do.
+func later(ctx context.Context, path *Path, d Direction, data []byte, write func([]byte)) {
+	for _, wait := range path.datagram(d) {
+		b := append([]byte(nil), data...)
+		if wait <= 0 {
+			write(b)
+			continue
+		}
+		time.AfterFunc(wait, func() {
+			if ctx.Err() == nil {
+				write(b)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/testbed/network/network_test.go
@@ -0,0 +1,176 @@
+package network
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+func TestPass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPath(Conditions{Delay: 50 * time.Millisecond}, 1)
+		began := time.Now()
+		if err := p.Pass(t.Context(), Out); err != nil || time.Since(began) != 50*time.Millisecond {
+			t.Errorf("passed after %v, %v", time.Since(began), err)
+		}
+		// A cut of one direction holds that one up, and not the other.
+		p.Change(Out, func(c *Conditions) { c.Cut = true })
+		time.AfterFunc(3*time.Second, func() { p.Change(Out, func(c *Conditions) { c.Cut = false }) })
+		began = time.Now()
+		if p.Pass(t.Context(), Back); time.Since(began) != 50*time.Millisecond {
+			t.Errorf("back after %v", time.Since(began))
+		}
+		if p.Pass(t.Context(), Out); time.Since(began) != 3*time.Second {
+			t.Errorf("out after %v", time.Since(began))
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		p.Change(Out, func(c *Conditions) { c.Cut = true })
+		if err := p.Pass(ctx, Out); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("a cut without end: %v", err)
+		}
+	})
+}
+
+func TestDatagrams(t *testing.T) {
+	p := NewPath(Conditions{Loss: 0.3, Duplicate: 0.1}, 2)
+	lost, twice := 0, 0
+	for range 10000 {
+		switch len(p.datagram(Out)) {
+		case 0:
+			lost++
+		case 2:
+			twice++
+		}
+	}
+	if lost < 2850 || lost > 3150 || twice < 600 || twice > 800 {
+		t.Errorf("%d lost, %d twice of 10000", lost, twice)
+	}
+}
+
+// TestHole connects to an address that others of its port serve, while it is a hole and afterwards.
+func TestHole(t *testing.T) {
+	l, err := Listen(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c.Close()
+		}
+	}()
+	port := l.Addr().(*net.TCPAddr).Port
+	dial := func(last byte) error {
+		c, err := net.DialTimeout("tcp4", (&net.TCPAddr{IP: net.IPv4(127, 9, 9, last), Port: port}).String(), 300*time.Millisecond)
+		if err == nil {
+			c.Close()
+		}
+		return err
+	}
+	h, err := NewHole(net.IPv4(127, 9, 9, 1), port)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := dial(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a hole: %v", err)
+	}
+	if err := dial(2); err != nil {
+		t.Errorf("beside a hole: %v", err)
+	}
+	h.Close()
+	if err := dial(1); err != nil {
+		t.Errorf("after a hole: %v", err)
+	}
+}
+
+func TestForwardTCP(t *testing.T) {
+	target, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	go func() {
+		c, err := target.Accept()
+		if err != nil {
+			return
+		}
+		io.Copy(c, c)
+		c.Close()
+	}()
+	path := NewPath(Conditions{}, 3)
+	f := &Forwarder{Target: target.Addr().String(), Choose: func(netip.AddrPort) *Path { return path }}
+	if err := f.ForwardTCP("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	c, err := net.Dial("tcp4", f.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write([]byte("hello"))
+	got := make([]byte, 5)
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != "hello" {
+		t.Errorf("%q, %v", got, err)
+	}
+	// The way back alone is cut: what is said arrives, and the answer once the cut is over.
+	path.Change(Back, func(c *Conditions) { c.Cut = true })
+	c.Write([]byte("again"))
+	c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, err := c.Read(got); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("through a cut: %v", err)
+	}
+	c.SetReadDeadline(time.Time{})
+	path.Change(Back, func(c *Conditions) { c.Cut = false })
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != "again" {
+		t.Errorf("%q, %v", got, err)
+	}
+}
+
+func TestForwardUDP(t *testing.T) {
+	target, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	go func() {
+		buf := make([]byte, 100)
+		for {
+			n, from, err := target.ReadFromUDPAddrPort(buf)
+			if err != nil {
+				return
+			}
+			target.WriteToUDPAddrPort(buf[:n], from)
+		}
+	}()
+	path := NewPath(Conditions{Duplicate: 1}, 4)
+	f := &Forwarder{Target: target.LocalAddr().String(), Choose: func(netip.AddrPort) *Path { return path }}
+	if err := f.ForwardUDP("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	c, err := net.Dial("udp4", f.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.Write([]byte("x"))
+	buf := make([]byte, 10)
+	for i := range 4 { // two copies either way
+		c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if n, err := c.Read(buf); err != nil || string(buf[:n]) != "x" {
+			t.Fatalf("copy %d: %q, %v", i, buf[:n], err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/testbed/plan/arrivals.go
@@ -0,0 +1,184 @@
+package plan
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+)
+
+// wheel draws an index by weight.
+type wheel []float64
+
+func newWheel(weights []float64) wheel {
+	w, sum := make(wheel, len(weights)), 0.0
+	for i, x := range weights {
+		sum += x
+		w[i] = sum
+	}
+	return w
+}
+
+func (w wheel) draw(rng *rand.Rand) int {
+	x := rng.Float64() * w[len(w)-1]
+	return min(sort.SearchFloat64s(w, x), len(w)-1)
+}
+
+// arrivals draws the messages: a Poisson process over the length, whose rate bursts raise, and clumps for single
+// partners, each at one relay.
+func (p *Plan) arrivals(rng *rand.Rand) {
+	x := p.Experiment.Load
+	level, clumps := x.Level.Draw(rng), x.Clumps.Draw(rng)
+	usage := make([]float64, len(x.Customers))
+	for i, c := range x.Customers {
+		usage[i] = c.Usage.Draw(rng)
+	}
+	weights, sum, plain := make([]float64, len(p.Partners)), 0.0, 0.0
+	for i := range p.Partners {
+		d := &p.Partners[i]
+		weights[i] = d.Share * usage[d.Customer]
+		sum, plain = sum+weights[i], plain+d.Share
+	}
+	for i := range weights {
+		weights[i] *= plain / sum // the level holds, whatever each customer uses of its share
+	}
+	relays := make([]float64, len(p.Relays))
+	for i, r := range p.Relays {
+		relays[i] = r.Share
+	}
+	pick := picker{p, newWheel(relays), make([]wheel, len(p.Partners)), x.Retries.Draw(rng), x.Heeds.Draw(rng), x.Leaves.Draw(rng),
+		x.HeavyBody.Draw(rng)}
+	for i := range p.Partners {
+		kind := p.Experiment.Partners.Kinds[p.Partners[i].Kind].Name
+		shares := make([]float64, len(p.Classes))
+		for c := range p.Classes {
+			if p.Classes[c].goes(kind) {
+				// Of a destination's traffic, as much is of this class as its share of all that such destinations get.
+				shares[c] = p.Classes[c].Share.Lo / p.reach(c)
+			}
+		}
+		pick.classes[i] = newWheel(shares)
+	}
+	rate := level * p.FullRate
+	most := 1.0
+	for _, f := range p.Faults {
+		if f.Kind == "burst" {
+			most = math.Max(most, f.Size)
+		}
+	}
+	partners := newWheel(weights)
+	for at := time.Duration(0); ; {
+		at += seconds(rng.ExpFloat64() / (rate * (1 - clumps) * most))
+		if at >= p.Length {
+			break
+		}
+		if rng.Float64()*most < p.factor(at) {
+			p.Arrivals = append(p.Arrivals, pick.message(rng, at, partners.draw(rng), -1))
+		}
+	}
+	for i := range p.Partners {
+		size := math.Max(2, x.ClumpSpan.Draw(rng)*p.FullRate*p.Partners[i].Share)
+		every := size / (rate * weights[i] * clumps)
+		if clumps == 0 {
+			continue
+		}
+		for at := seconds(rng.ExpFloat64() * every); at < p.Length; at += seconds(rng.ExpFloat64() * every) {
+			relay, gap := pick.relays.draw(rng), seconds((0.05+0.15*rng.Float64())/size)
+			for k := range max(2, int(size*(0.5+rng.Float64()))) {
+				if t := at + time.Duration(k)*gap; t < p.Length {
+					p.Arrivals = append(p.Arrivals, pick.message(rng, t, i, relay))
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(p.Arrivals, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+}
+
+// reach is the share of the traffic that destinations get to which a class goes.
+func (p *Plan) reach(c int) float64 {
+	sum := 0.0
+	for i := range p.Partners {
+		if p.Classes[c].goes(p.Experiment.Partners.Kinds[p.Partners[i].Kind].Name) {
+			sum += p.Partners[i].Share
+		}
+	}
+	return math.Max(sum, 1e-9)
+}
+
+// factor is by how much bursts raise the traffic at a moment.
+func (p *Plan) factor(at time.Duration) float64 {
+	f := 1.0
+	for _, x := range p.Faults {
+		if x.Kind == "burst" && at >= x.At && at < x.At+x.For {
+			f = math.Max(f, x.Size)
+		}
+	}
+	return f
+}
+
+// picker draws what a message is.
+type picker struct {
+	p                             *Plan
+	relays                        wheel
+	classes                       []wheel // for each destination
+	retries, heeds, leaves, heavy float64
+}
+
+func (k *picker) message(rng *rand.Rand, at time.Duration, partner, relay int) Arrival {
+	x := k.p.Experiment.Load
+	a := Arrival{At: at, Relay: relay, Partner: partner, Customer: k.p.Partners[partner].Customer, Draw: rng.Uint64()}
+	if relay < 0 {
+		a.Relay = k.relays.draw(rng)
+	}
+	a.Class = k.classes[partner].draw(rng)
+	c := &k.p.Classes[a.Class]
+	// A lognormal of mean 1 and the class's variation.
+	v := math.Log(1 + c.CV*c.CV)
+	a.Work = millis(c.WorkMS * math.Exp(math.Sqrt(v)*rng.NormFloat64()-v/2))
+	a.Body = 64 + rng.IntN(448)
+	if rng.Float64() < k.heavy {
+		a.Body = 8<<10 + rng.IntN(56<<10)
+	}
+	a.Retries = int(k.retries)
+	if rng.Float64() < k.retries-math.Floor(k.retries) {
+		a.Retries++
+	}
+	a.Backoff, a.Heeds, a.Again = millis(x.Backoff.Draw(rng)), rng.Float64() < k.heeds, millis(x.Again.Draw(rng))
+	leaves, when := rng.Float64(), millis(1+60*rng.Float64())
+	share := k.leaves
+	for _, f := range k.p.Faults {
+		if f.Kind == "leave" && at >= f.At && at < f.At+f.For {
+			share = f.Size
+		}
+	}
+	if leaves < share {
+		a.Leaves = when
+	}
+	return a
+}
+
+// hostile draws the peers that speak no proper request.
+func (p *Plan) hostile(rng *rand.Rand) {
+	add := func(rate float64, from, to time.Duration, relays []int) {
+		for at := from; rate > 0; {
+			at += seconds(rng.ExpFloat64() / rate)
+			if at >= to {
+				return
+			}
+			p.Peers = append(p.Peers, Hostile{At: at, Relay: relays[rng.IntN(len(relays))], Way: rng.IntN(Ways), Draw: rng.Uint64()})
+		}
+	}
+	all := make([]int, len(p.Relays))
+	for i := range all {
+		all[i] = i
+	}
+	add(p.Experiment.Load.Hostile.Draw(rng), 0, p.Length, all)
+	for _, f := range p.Faults {
+		if f.Kind == "hostile" {
+			add(f.Size, f.At, f.At+f.For, f.Relays)
+		}
+	}
+	slices.SortStableFunc(p.Peers, func(a, b Hostile) int { return cmp.Compare(a.At, b.At) })
+}
--- /dev/null
+++ b/internal/testbed/plan/faults.go
@@ -0,0 +1,145 @@
+package plan
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/testbed/experiment"
+)
+
+const (
+	// A replaced endpoint's successor is listed this long before the old one drains, and the old one ends this long after.
+	successorBefore = 1500 * time.Millisecond
+	goneAfter       = 3500 * time.Millisecond
+	// lastFault is the share of the length by which every fault has begun and, if it lasts, is over: what comes back is
+	// seen to come back.
+	lastFault = 0.9
+)
+
+// faults draws each fault's moment, targets and size.
+func (p *Plan) faults(rng *rand.Rand) {
+	for _, x := range p.Experiment.Faults {
+		f := Fault{Kind: x.Kind, At: time.Duration(x.At.Draw(rng) * float64(p.Length)), For: x.For.Draw(rng), Size: x.Size.Draw(rng),
+			Building: -1}
+		end := time.Duration(lastFault * float64(p.Length))
+		f.For = max(0, min(f.For, end-f.At))
+		share := x.Share.Draw(rng)
+		if x.In == "building" {
+			f.Building = rng.IntN(len(p.Buildings))
+		}
+		switch x.Kind {
+		case "kill", "term", "pause", "replace", "starve", "hostile", "move":
+			if share == 0 {
+				share = 1
+			}
+			f.Relays = p.strikeRelays(rng, share, f.Building)
+			if x.Kind == "kill" {
+				for _, r := range f.Relays {
+					if rng.Float64() < f.Size {
+						f.Emptied = append(f.Emptied, r)
+					}
+				}
+			}
+		case "roll", "upgrade":
+			p.spread(rng, f)
+			continue
+		case "cut", "one-way":
+			if f.Building < 0 {
+				f.Building = rng.IntN(len(p.Buildings))
+			}
+			for i := range p.Relays {
+				if p.Relays[i].Building == f.Building {
+					f.Relays = append(f.Relays, i)
+				}
+			}
+		case "release":
+			p.release(rng, &f, share)
+		case "loss", "delay", "reset", "answers":
+			f.Relays = p.strikeRelays(rng, cmp.Or(share, 1), f.Building)
+		case "slow", "errors", "shut", "down", "hang", "limits":
+			f.Partners, f.Endpoints = p.strikePartners(rng, x, share, f.Building)
+		}
+		p.Faults = append(p.Faults, f)
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+}
+
+// strikeRelays draws a share of the relays, one at least.
+func (p *Plan) strikeRelays(rng *rand.Rand, share float64, building int) []int {
+	var of []int
+	for i := range p.Relays {
+		if building < 0 || p.Relays[i].Building == building {
+			of = append(of, i)
+		}
+	}
+	rng.Shuffle(len(of), func(i, j int) { of[i], of[j] = of[j], of[i] })
+	of = of[:min(len(of), max(1, int(share*float64(len(of))+0.5)))]
+	slices.Sort(of)
+	return of
+}
+
+// strikePartners draws partners that get about a share of the traffic, one at least, and the endpoints struck: all of
+// theirs, or those in one building.
+func (p *Plan) strikePartners(rng *rand.Rand, x experiment.Fault, share float64, building int) (partners, endpoints []int) {
+	sum := 0.0
+	for _, i := range rng.Perm(len(p.Partners)) {
+		var in []int
+		for _, e := range p.Partners[i].Endpoints {
+			if building < 0 || p.Endpoints[e].Building == building {
+				in = append(in, e)
+			}
+		}
+		if len(in) == 0 || len(partners) > 0 && sum+p.Partners[i].Share > share*1.2 {
+			continue
+		}
+		// Routes apart have outages of their own, but most strike all of a partner's.
+		partners, endpoints = append(partners, i), append(endpoints, in...)
+		if sum += p.Partners[i].Share; sum >= share*0.8 {
+			break
+		}
+	}
+	slices.Sort(partners)
+	slices.Sort(endpoints)
+	return partners, endpoints
+}
+
+// spread makes a restart of each relay out of a rolling one, over its time, in an order that is drawn.
+func (p *Plan) spread(rng *rand.Rand, f Fault) {
+	order := rng.Perm(len(p.Relays))
+	for k, r := range order {
+		one := Fault{Kind: "term", At: f.At + time.Duration(float64(f.For)*float64(k)/float64(len(order))), Relays: []int{r}, Building: -1}
+		switch {
+		case f.Kind == "upgrade":
+			one.Kind = "replace"
+		case k%2 == 1:
+			one.Kind, one.For = "kill", 600*time.Millisecond
+		}
+		p.Faults = append(p.Faults, one)
+	}
+}
+
+// release replaces a share of the endpoints, in steps.
+func (p *Plan) release(rng *rand.Rand, f *Fault, share float64) {
+	var of []int
+	for i := range p.Endpoints {
+		if p.Endpoints[i].Drains == 0 {
+			of = append(of, i)
+		}
+	}
+	rng.Shuffle(len(of), func(i, j int) { of[i], of[j] = of[j], of[i] })
+	of = of[:max(1, int(share*float64(len(of))+0.5))]
+	for k, i := range of {
+		at := f.At + time.Duration(float64(f.For)*float64(k)/float64(len(of)))
+		old := &p.Endpoints[i]
+		old.Drains, old.Gone = at+successorBefore, at+successorBefore+goneAfter
+		next := *old
+		next.ID, next.Added, next.Drains, next.Gone = fmt.Sprintf("s-%08x", rng.Uint32()), max(at, 1), 0, 0
+		f.Endpoints = append(f.Endpoints, i)
+		d := &p.Partners[next.Partner]
+		d.Endpoints = append(d.Endpoints, len(p.Endpoints))
+		p.Endpoints = append(p.Endpoints, next)
+	}
+}
--- /dev/null
+++ b/internal/testbed/plan/plan.go
@@ -0,0 +1,393 @@
+// Package plan draws, from an experiment and a seed, everything that a run is given: the fleet, the partners, each
+// message with its time and work, and each fault with its moment and its targets. Nothing is drawn while a run is under
+// way, so that the same seed gives the same run whatever the program under test does; Write prints it, byte for byte.
+package plan
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/testbed/experiment"
+)
+
+// Plan is one run, drawn.
+type Plan struct {
+	Experiment *experiment.Experiment
+	Seed       uint64
+	Length     time.Duration // messages arrive for so long
+	Buildings  []string
+	Relays     []Relay
+	Partners   []Partner
+	Endpoints  []Endpoint // those of the start first, then those that releases add, in their order
+	Classes    []Class
+	Arrivals   []Arrival // by time
+	Faults     []Fault   // by time
+	Peers      []Hostile // by time
+	FullRate   float64   // messages a second at full load
+	Delays     [][]time.Duration
+	Handshakes float64 // round trips of a new connection
+	Jitter     float64
+	AnswerIn   time.Duration // how long a client waits
+}
+
+// Relay is one relay's place and size.
+type Relay struct {
+	Name     string
+	Building int
+	Share    float64 // of the traffic
+	Slots    int
+	MaxHeld  int
+	Seed     uint64
+}
+
+// Partner is one destination.
+type Partner struct {
+	ID        int
+	Kind      int
+	Customer  int
+	Share     float64 // of the traffic
+	Limit     float64 // calls a second from all relays together; 0: none but its capacity
+	Capacity  float64 // calls a second, over all its endpoints
+	Depth     float64 // seconds of its capacity that may wait
+	Speed     float64
+	Warm      time.Duration
+	Cold      float64
+	TellsWait time.Duration // with a refusal; 0: not told
+	Report    time.Duration // from one refresh of the report to the next
+	Delay     time.Duration // until it is seen
+	Noise     float64
+	Errors    float64
+	Endpoints []int
+}
+
+// Endpoint is one endpoint of a partner.
+type Endpoint struct {
+	ID       string
+	Partner  int
+	Building int
+	Capacity float64       // calls a second
+	Conns    int           // connections that it holds; 0: any number
+	Added    time.Duration // when discovery lists it; 0 at the start
+	Gone     time.Duration // when it has ended; 0: never
+	Drains   time.Duration // when it begins to; 0: never
+}
+
+// Class is a class of message with its drawn figures.
+type Class struct {
+	experiment.Class
+	WorkMS float64
+	CV     float64
+}
+
+// Arrival is one message as its client first hands it in.
+type Arrival struct {
+	At       time.Duration
+	Relay    int
+	Class    int
+	Customer int
+	Partner  int
+	Work     time.Duration // at a partner of usual pace
+	Body     int           // bytes
+	Retries  int           // times that its client comes again after a refusal
+	Backoff  time.Duration
+	Heeds    bool          // heeds a told time
+	Leaves   time.Duration // its client leaves after so long, once; 0: it stays
+	Again    time.Duration // until it comes again after a relay's death
+	Draw     uint64        // for what else is to be drawn for it
+}
+
+// Fault is one trouble with its moment and targets.
+type Fault struct {
+	Kind      string
+	At, For   time.Duration
+	Size      float64
+	Relays    []int
+	Emptied   []int // of Relays: those that come back with an empty folder
+	Partners  []int
+	Endpoints []int // replaced
+	Building  int   // -1: none
+}
+
+// Hostile is one peer that speaks no proper request.
+type Hostile struct {
+	At    time.Duration
+	Relay int
+	Way   int // which of the ways to misbehave
+	Draw  uint64
+}
+
+// Ways is how many ways hostile peers have.
+const Ways = 8
+
+// stream is a source of random numbers of its own for each part of a plan: what one part draws does not move another.
+func stream(seed uint64, part string) *rand.Rand {
+	h := fnv.New64a()
+	io.WriteString(h, part)
+	return rand.New(rand.NewPCG(seed, h.Sum64()))
+}
+
+// Draw draws a plan.
+func Draw(x *experiment.Experiment, seed uint64, quick bool) *Plan {
+	p := &Plan{Experiment: x, Seed: seed, Length: x.Length.D(), Buildings: x.Fleet.Buildings, AnswerIn: x.Load.AnswerIn.D()}
+	relays := x.Fleet.Relays
+	if quick {
+		p.Length, relays = x.Quick.D(), x.Fleet.QuickRelays
+	}
+	p.classes(stream(seed, "classes"))
+	p.partners(stream(seed, "partners"))
+	p.network(stream(seed, "network"))
+	p.relays(stream(seed, "relays"), relays)
+	p.faults(stream(seed, "faults"))
+	p.arrivals(stream(seed, "arrivals"))
+	p.hostile(stream(seed, "hostile"))
+	return p
+}
+
+func (p *Plan) classes(rng *rand.Rand) {
+	sum := 0.0
+	for _, c := range p.Experiment.Load.Classes {
+		d := Class{Class: c, WorkMS: c.Work.Draw(rng), CV: c.Spread.Draw(rng)}
+		share := c.Share.Draw(rng)
+		d.Share = experiment.Of(share, share)
+		sum += share
+		p.Classes = append(p.Classes, d)
+	}
+	for i := range p.Classes {
+		s := p.Classes[i].Share.Lo / sum
+		p.Classes[i].Share = experiment.Of(s, s)
+	}
+}
+
+// goes tells whether a class goes to a kind.
+func (c *Class) goes(kind string) bool { return len(c.Kinds) == 0 || slices.Contains(c.Kinds, kind) }
+
+func (p *Plan) partners(rng *rand.Rand) {
+	x := p.Experiment.Partners
+	n := x.Count.DrawInt(rng)
+	p.FullRate = x.Rate.Draw(rng) * float64(n)
+	zipf, spread := x.Zipf.Draw(rng), x.Endpoints.Draw(rng)
+	weights := make([]float64, n)
+	for i := range weights {
+		weights[i] = 1 / math.Pow(float64(i+1), zipf)
+	}
+	kinds := p.kinds(rng, n)
+	p.Partners = make([]Partner, n)
+	ids := rng.Perm(n)
+	for i := range p.Partners {
+		p.Partners[i] = Partner{ID: ids[i], Kind: kinds[i]}
+	}
+	// A class may go to some kinds alone: the share of a destination adds up over the classes.
+	for _, c := range p.Classes {
+		sum := 0.0
+		for i := range weights {
+			if c.goes(x.Kinds[kinds[i]].Name) {
+				sum += weights[i]
+			}
+		}
+		for i := range weights {
+			if sum > 0 && c.goes(x.Kinds[kinds[i]].Name) {
+				p.Partners[i].Share += c.Share.Lo * weights[i] / sum
+			}
+		}
+	}
+	p.customers()
+	// Busier destinations have more endpoints.
+	for i := range p.Partners {
+		d := &p.Partners[i]
+		want := spread * math.Pow(d.Share*float64(n), 0.4)
+		p.endpoints(rng, i, min(4, max(1, int(want+rng.Float64()))))
+	}
+}
+
+// kinds deals the kinds out to n destinations, of which the first has the most traffic.
+func (p *Plan) kinds(rng *rand.Rand, n int) []int {
+	x := p.Experiment.Partners.Kinds
+	sum := 0.0
+	for _, k := range x {
+		sum += k.Share
+	}
+	type token struct {
+		kind int
+		key  float64
+	}
+	var tokens []token
+	for i, k := range x {
+		for range max(1, int(float64(n)*k.Share/sum+0.5)) {
+			tokens = append(tokens, token{i, -k.Lean + 1.5*rng.Float64()})
+		}
+	}
+	for len(tokens) < n {
+		i := len(x) - 1
+		tokens = append(tokens, token{i, -x[i].Lean + 1.5*rng.Float64()})
+	}
+	slices.SortStableFunc(tokens, func(a, b token) int { return cmp.Compare(a.key, b.key) })
+	kinds := make([]int, n)
+	for i := range kinds {
+		kinds[i] = tokens[i].kind
+	}
+	return kinds
+}
+
+// customers gives each destination the customer that has most of its share left.
+func (p *Plan) customers() {
+	left := make([]float64, len(p.Experiment.Load.Customers))
+	for i, c := range p.Experiment.Load.Customers {
+		left[i] = c.Share
+	}
+	for i := range p.Partners {
+		best := 0
+		for j := range left {
+			if left[j] > left[best] {
+				best = j
+			}
+		}
+		p.Partners[i].Customer = best
+		left[best] -= p.Partners[i].Share
+	}
+}
+
+func (p *Plan) endpoints(rng *rand.Rand, i, n int) {
+	x := p.Experiment.Partners
+	d := &p.Partners[i]
+	k := x.Kinds[d.Kind]
+	calls := p.FullRate * d.Share
+	if k.Batch > 1 {
+		calls /= 2 // several travel in a call where several wait
+	}
+	d.Limit = math.Max(k.Least.Draw(rng), calls*k.Headroom.Draw(rng))
+	d.Capacity = d.Limit * k.Spare.Draw(rng)
+	if k.Limit == "none" {
+		d.Limit, d.Capacity = 0, d.Limit
+	}
+	d.Depth, d.Speed = k.Depth.Draw(rng), k.Speed.Draw(rng)
+	d.Warm, d.Cold = seconds(x.Warm.Draw(rng)), x.Cold.Draw(rng)
+	wait := millis(x.Wait.Draw(rng))
+	if rng.Float64() < x.TellsWait {
+		d.TellsWait = wait
+	}
+	d.Report, d.Delay, d.Noise = millis(x.Report.Draw(rng)), millis(x.ReportDelay.Draw(rng)), x.ReportNoise.Draw(rng)
+	d.Errors = x.Errors.Draw(rng)
+	conns := x.Connections.Draw(rng)
+	at := rng.IntN(len(p.Buildings))
+	for j := range n {
+		e := Endpoint{ID: fmt.Sprintf("s-%08x", rng.Uint32()), Partner: i, Building: (at + j) % len(p.Buildings),
+			Capacity: d.Capacity / float64(n)}
+		if conns > 0 {
+			e.Conns = max(6, int(conns*e.Capacity*p.work(d)))
+		}
+		d.Endpoints = append(d.Endpoints, len(p.Endpoints))
+		p.Endpoints = append(p.Endpoints, e)
+	}
+}
+
+// work is the mean time in seconds that a call takes at a destination.
+func (p *Plan) work(d *Partner) float64 {
+	sum, share := 0.0, 0.0
+	for _, c := range p.Classes {
+		if c.goes(p.Experiment.Partners.Kinds[d.Kind].Name) {
+			sum, share = sum+c.Share.Lo*c.WorkMS/1000, share+c.Share.Lo
+		}
+	}
+	if share == 0 {
+		return 0.2
+	}
+	return sum / share / d.Speed
+}
+
+func (p *Plan) network(rng *rand.Rand) {
+	x := p.Experiment.Network
+	n := len(p.Buildings)
+	p.Delays = make([][]time.Duration, n)
+	for a := range n {
+		p.Delays[a] = make([]time.Duration, n)
+	}
+	for a := range n {
+		p.Delays[a][a] = millis(x.Same.Draw(rng))
+		for b := range a {
+			d := millis(x.Cross.Draw(rng))
+			p.Delays[a][b], p.Delays[b][a] = d, d
+		}
+	}
+	p.Handshakes, p.Jitter = x.Handshakes.Draw(rng), x.Jitter.Draw(rng)
+}
+
+func (p *Plan) relays(rng *rand.Rand, count experiment.Range) {
+	x := p.Experiment.Fleet
+	n := count.DrawInt(rng)
+	skew, room, hold := x.Skew.Draw(rng), x.SlotsRoom.Draw(rng), x.HoldSeconds.Draw(rng)
+	order := rng.Perm(n)
+	sum := 0.0
+	for i := range n {
+		sum += 1 / math.Pow(float64(i+1), skew)
+	}
+	busy := 0.0 // slots that the full load keeps busy, in the mean: the work, the way there and back
+	for i := range p.Partners {
+		d := &p.Partners[i]
+		calls := p.FullRate * d.Share
+		if b := p.Experiment.Partners.Kinds[d.Kind].Batch; b > 1 {
+			calls /= 2
+		}
+		busy += calls * (p.work(d) + 2*p.meanDelay().Seconds())
+	}
+	p.Relays = make([]Relay, n)
+	for i := range n {
+		share := 1 / math.Pow(float64(order[i]+1), skew) / sum
+		p.Relays[i] = Relay{
+			Name: fmt.Sprintf("r%d", i+1), Building: i % len(p.Buildings), Share: share, Seed: rng.Uint64(),
+			Slots: max(2, int(math.Ceil(room*busy*share))), MaxHeld: max(12, int(math.Ceil(hold*p.FullRate*share))),
+		}
+	}
+}
+
+// meanDelay is the one-way delay between two buildings drawn at random.
+func (p *Plan) meanDelay() time.Duration {
+	sum, n := time.Duration(0), 0
+	for _, row := range p.Delays {
+		for _, d := range row {
+			sum, n = sum+d, n+1
+		}
+	}
+	return sum / time.Duration(n)
+}
+
+func seconds(x float64) time.Duration { return time.Duration(x * float64(time.Second)) }
+func millis(x float64) time.Duration  { return time.Duration(x * float64(time.Millisecond)) }
+
+// Write prints the plan.
+func (p *Plan) Write(w io.Writer) error {
+	b := bufio.NewWriter(w)
+	fmt.Fprintf(b, "experiment %s seed %d length %v full %.3f/s handshakes %.2f jitter %.3f\n", p.Experiment.Name, p.Seed, p.Length,
+		p.FullRate, p.Handshakes, p.Jitter)
+	for i, row := range p.Delays {
+		fmt.Fprintf(b, "delays %s %v\n", p.Buildings[i], row)
+	}
+	for _, c := range p.Classes {
+		fmt.Fprintf(b, "class %s share %.4f work %.1fms cv %.3f\n", c.Name, c.Share.Lo, c.WorkMS, c.CV)
+	}
+	for _, r := range p.Relays {
+		fmt.Fprintf(b, "relay %+v\n", r)
+	}
+	for _, d := range p.Partners {
+		fmt.Fprintf(b, "partner %+v\n", d)
+	}
+	for _, e := range p.Endpoints {
+		fmt.Fprintf(b, "endpoint %+v\n", e)
+	}
+	for _, f := range p.Faults {
+		fmt.Fprintf(b, "fault %+v\n", f)
+	}
+	for _, h := range p.Peers {
+		fmt.Fprintf(b, "hostile %+v\n", h)
+	}
+	for _, a := range p.Arrivals {
+		fmt.Fprintf(b, "message %+v\n", a)
+	}
+	return b.Flush()
+}
--- /dev/null
+++ b/internal/testbed/platform/platform_test.go
@@ -0,0 +1,249 @@
+package platform
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/testbed/experiment"
+	"onyxroad.dev/onyxroad/internal/testbed/ledger"
+	"onyxroad.dev/onyxroad/internal/testbed/plan"
+)
+
+// world is a platform whose relay is the test: one partner of the kind given with one endpoint, no delays.
+func world(t *testing.T, kind int, change func(p *plan.Plan)) (*Platform, *ledger.Ledger, *Ports) {
+	t.Helper()
+	x := experiment.Default()
+	p := &plan.Plan{Experiment: x, Seed: 1, Length: time.Minute, FullRate: 10, Buildings: x.Fleet.Buildings[:1],
+		Relays: []plan.Relay{{Name: "r1", Slots: 4}}, Delays: [][]time.Duration{{0}},
+		Partners: []plan.Partner{{ID: 7, Kind: kind, Limit: 20, Capacity: 1000, Depth: 1, Speed: 1, Warm: 8 * time.Second, Cold: 0.15,
+			Report: time.Millisecond, Endpoints: []int{0}}, {ID: 8, Kind: kind, Capacity: 1000, Depth: 1, Speed: 1, Endpoints: []int{1}}},
+		Endpoints: []plan.Endpoint{{ID: "a", Capacity: 1000}, {ID: "b", Partner: 1, Capacity: 1000}},
+	}
+	for _, c := range x.Load.Classes {
+		p.Classes = append(p.Classes, plan.Class{Class: c})
+	}
+	for range 60 {
+		p.Arrivals = append(p.Arrivals, plan.Arrival{Work: time.Millisecond, Body: 10})
+	}
+	if change != nil {
+		change(p)
+	}
+	ports, err := TakePorts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(ports.Release)
+	book := ledger.New()
+	for i := range p.Arrivals {
+		book.HandIn(&ledger.HandIn{Message: i, Trace: trace(i), Deadline: time.Minute})
+	}
+	pl, err := New(p, book, ports)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(pl.Close)
+	return pl, book, ports
+}
+
+func trace(i int) string { return fmt.Sprintf("%016x", i+1) }
+
+// post makes a call on a connection of its own, or on c.
+func post(t *testing.T, c net.Conn, addr, path, id string, body []byte) *http.Response {
+	t.Helper()
+	if c == nil {
+		var err error
+		if c, err = net.Dial("tcp4", addr); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+	}
+	fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: x\r\nX-Trace-Id: %s\r\nContent-Length: %d\r\n\r\n%s", path, id, len(body), body)
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res
+}
+
+func addr(p *Ports, endpoint int) string {
+	return join(endpointIP(endpoint, 0), p.base+portEndpoints+endpoint)
+}
+
+func TestCalls(t *testing.T) {
+	_, book, ports := world(t, 0, nil)
+	c, err := net.Dial("tcp4", addr(ports, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	res := post(t, c, "", "/events", trace(0), Body(trace(0), 10))
+	if res.StatusCode != 200 || !strings.Contains(res.Header.Get("Endpoint-Load-Metrics"), "TEXT x0=") {
+		t.Errorf("%s, %v", res.Status, res.Header)
+	}
+	for name, r := range map[string]*http.Response{
+		"delivered before":   post(t, c, "", "/events", trace(0), Body(trace(0), 10)),
+		"wrong destination":  post(t, nil, addr(ports, 1), "/events", trace(1), Body(trace(1), 10)),
+		"unknown message":    post(t, c, "", "/events", "nobody", []byte("x")),
+		"another body":       post(t, c, "", "/events", trace(2), []byte("0123456789")),
+		"unreadable bundle":  post(t, c, "", "/events/bundle", "", []byte("[")),
+		"one message twice":  post(t, c, "", "/events/bundle", "", bundleOf(4, 4)),
+		"more than it takes": post(t, c, "", "/events/bundle", "", bundleOf(4, 5, 6, 7, 8, 9)),
+	} {
+		want := map[string]int{"delivered before": 410, "more than it takes": 413}[name]
+		if want == 0 {
+			want = 400
+		}
+		if r.StatusCode != want {
+			t.Errorf("%s: %s", name, r.Status)
+		}
+	}
+	if len(book.Unknowns) != 3 {
+		t.Errorf("unknown: %+v", book.Unknowns)
+	}
+	res = post(t, c, "", "/events/bundle", "", bundleOf(10, 11, 0))
+	data, _ := io.ReadAll(res.Body)
+	if got := strings.Join(bundleStates(data), " "); res.StatusCode != 200 || got != "ok ok gone" {
+		t.Errorf("bundle: %s %q", res.Status, got)
+	}
+}
+
+func bundleOf(ids ...int) []byte {
+	var items []item
+	for _, i := range ids {
+		items = append(items, item{ID: trace(i), Body: Body(trace(i), 10)})
+	}
+	data, _ := json.Marshal(items)
+	return data
+}
+
+// TestWindow asks a partner with a count in each span for more than that. Refused calls count, too, but do no more harm.
+func TestWindow(t *testing.T) {
+	s := newPartners(&plan.Plan{Experiment: experiment.Default()}, ledger.New())
+	sc := &scope{kind: 2, full: 3, size: 1, span: 2 * time.Second}
+	taken := func(from time.Duration) (n int) {
+		for i := range 20 {
+			if s.takes(sc, from+time.Duration(i)*90*time.Millisecond) {
+				n++
+			}
+		}
+		return n
+	}
+	if a, b := taken(0), taken(2*time.Second); a != 6 || b != 6 {
+		t.Errorf("%d and %d calls taken in spans of six", a, b)
+	}
+	if left := s.left(sc, 3*time.Second); left != 0 {
+		t.Errorf("%v of the limit left", left)
+	}
+	sc.size = 0.5
+	if a := taken(4 * time.Second); a != 3 {
+		t.Errorf("%d calls taken at half the limit", a)
+	}
+}
+
+func TestRateLimit(t *testing.T) {
+	s := newPartners(&plan.Plan{Experiment: experiment.Default(), Partners: []plan.Partner{{Limit: 10, Capacity: 1e6, Depth: 1, Speed: 1}},
+		Endpoints: []plan.Endpoint{{Capacity: 1e6}}, Classes: []plan.Class{{}}}, ledger.New())
+	// Limits are per partner, of kind 0, a plain rate: 50 calls in a second take ten and what may come at once.
+	s.endpoints[0].scope = &scope{full: 10, size: 1, tokens: 3, members: []int{0}, warmAt: ledger.Never}
+	taken := 0
+	for i := range 50 {
+		if s.call(0, 0, time.Duration(i)*20*time.Millisecond, time.Millisecond, 1, 0).status == 200 {
+			taken++
+		}
+	}
+	if taken < 12 || taken > 13 {
+		t.Errorf("%d of 50 calls in a second taken at 10 a second", taken)
+	}
+}
+
+// TestCold has a partner come back from an outage: it takes what it can at the time, and falls over when pushed.
+func TestCold(t *testing.T) {
+	for _, pushed := range []bool{false, true} {
+		book := ledger.New()
+		p := &plan.Plan{Experiment: experiment.Default(), Partners: []plan.Partner{{Capacity: 100, Depth: 1, Speed: 1, Warm: 8 * time.Second,
+			Cold: 0.15, Endpoints: []int{0}}}, Endpoints: []plan.Endpoint{{Capacity: 100}}, Classes: []plan.Class{{}}}
+		s := newPartners(p, book)
+		f := &plan.Fault{Kind: "shut", Partners: []int{0}, Endpoints: []int{0}}
+		s.begin(f, time.Second)
+		s.call(3, 0, 2*time.Second, time.Millisecond, 1, 0) // relay 3 sees it refuse
+		s.end(f, 5*time.Second)
+		if got := s.capacity(0, 5*time.Second); got != 15 {
+			t.Errorf("capacity %v on its return", got)
+		}
+		gap := 50 * time.Millisecond // 20 a second at 15 of capacity
+		if pushed {
+			gap = 10 * time.Millisecond
+		}
+		for at := 5 * time.Second; at < 7*time.Second; at += gap {
+			s.call(3, 0, at, time.Millisecond, 1, 0)
+		}
+		if o := book.Outages[0]; (o.Fell != ledger.Never) != pushed || o.ByThose != o.Pushed {
+			t.Errorf("pushed %v: fell at %v, %d of %d by those who saw it fail", pushed, o.Fell, o.ByThose, o.Pushed)
+		}
+	}
+}
+
+func TestDiscovery(t *testing.T) {
+	x, book, ports := world(t, 0, nil)
+	base := "http://" + ports.Agent(0, 0)
+	res, err := http.Get(base + "/catalog/members")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var l List
+	json.NewDecoder(res.Body).Decode(&l)
+	res.Body.Close()
+	if !l.Full || len(l.Servers) != 2 || l.Servers[0].Cell != 7 || l.Servers[0].Addr != addr(ports, 0) {
+		t.Errorf("%+v", l)
+	}
+	watch, err := http.Get(fmt.Sprintf("%s/catalog/members?stream=1&index=%d", base, l.Version))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer watch.Body.Close()
+	lines := bufio.NewScanner(watch.Body)
+	lines.Scan() // nothing new yet
+	a := x.agents[0]
+	a.news(a.entry(1, "draining"))
+	lines.Scan()
+	var change List
+	if err := json.Unmarshal(lines.Bytes(), &change); err != nil || change.Full || change.Servers[0].State != "draining" {
+		t.Errorf("%q, %v", lines.Bytes(), err)
+	}
+	if len(book.Told) != 1 || book.Told[0].Endpoint != 1 {
+		t.Errorf("told %+v", book.Told)
+	}
+	for body, want := range map[string]int{
+		"{\"id\":\"" + trace(0) + "\",\"status\":\"deferred\",\"again_ms\":500}\n": 204,
+		"{\"id\":\"x\",\"status\":\"lost\"}\n":                                     400,
+	} {
+		res, err := http.Post(base+"/v2/finals", "", bytes.NewReader([]byte(body)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		if res.StatusCode != want {
+			t.Errorf("%q: %s", body, res.Status)
+		}
+	}
+	if len(book.Notices) != 1 || book.Notices[0].Again != 500*time.Millisecond {
+		t.Errorf("notices %+v", book.Notices)
+	}
+	moved, err := x.Move(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if res, err = http.Get("http://" + moved + "/catalog/members"); err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+}
--- /dev/null
+++ b/internal/testbed/process/watch.go
@@ -0,0 +1,149 @@
+package process
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"onyxroad.dev/onyxroad/internal/testbed/ledger"
+	"onyxroad.dev/onyxroad/internal/testbed/network"
+)
+
+const (
+	watchEvery = 500 * time.Millisecond
+	block      = 512
+	ticks      = 100 // a second, of the kernel's count of processor time
+)
+
+// watch samples what each process holds.
+func (f *Fleet) watch() {
+	for network.Sleep(f.ctx, watchEvery) == nil {
+		for r, x := range f.relays {
+			f.mu.Lock()
+			now := append([]*process(nil), x.now...)
+			f.mu.Unlock()
+			disk := diskMB(filepath.Join(f.dir, f.plan.Relays[r].Name, "state"))
+			for _, p := range now {
+				s := ledger.Sample{Relay: r, PID: p.life.PID, At: f.book.Now(), DiskMB: disk}
+				s.MemoryMB, s.CPU = memoryMB(s.PID), processorTime(s.PID)
+				if fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", s.PID)); err == nil {
+					s.Sockets = len(fds)
+				}
+				if s.MemoryMB > 0 {
+					f.book.Add(s)
+				}
+			}
+		}
+	}
+}
+
+// memoryMB is a process's own memory: what it shares, the program's text say, is counted to nobody.
+func memoryMB(pid int) float64 {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	kb := 0.0
+	for line := range strings.Lines(string(data)) {
+		name, value, _ := strings.Cut(line, ":")
+		if name == "RssAnon" || name == "RssShmem" {
+			x, _ := strconv.ParseFloat(strings.TrimSuffix(strings.TrimSpace(value), " kB"), 64)
+			kb += x
+		}
+	}
+	return kb / 1024
+}
+
+// processorTime is what a process has used of processors.
+func processorTime(pid int) time.Duration {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), ") ") // the name before may hold spaces
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * time.Second / ticks
+}
+
+// diskMB is what a folder takes, each file in whole blocks.
+func diskMB(dir string) float64 {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return 0
+	}
+	sum := int64(0)
+	for _, e := range entries {
+		if info, err := e.Info(); err == nil && info.Mode().IsRegular() {
+			sum += (info.Size() + block - 1) / block * block
+		}
+	}
+	return float64(sum) / (1 << 20)
+}
+
+// starve has a relay share one core with a process that takes all of it.
+func (f *Fleet) starve(r int, d time.Duration) error {
+	p := f.last(r)
+	if p == nil {
+		return nil
+	}
+	var all, one unix.CPUSet
+	if err := unix.SchedGetaffinity(p.life.PID, &all); err != nil {
+		return fmt.Errorf("process: affinity: %w", err)
+	}
+	n := 0
+	for cpu := range 1024 {
+		if all.IsSet(cpu) {
+			if n == r%all.Count() {
+				one.Set(cpu)
+			}
+			n++
+		}
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("process: %w", err)
+	}
+	burner := exec.Command(self, "burn", "--for", d.String())
+	if err := f.start.start(burner); err != nil {
+		return fmt.Errorf("process: burn: %w", err)
+	}
+	f.mu.Lock()
+	f.burn = append(f.burn, burner)
+	f.mu.Unlock()
+	defer burner.Wait()
+	if err := setAffinity(burner.Process.Pid, &one); err != nil {
+		return err
+	}
+	if err := setAffinity(p.life.PID, &one); err != nil {
+		return err
+	}
+	network.Sleep(f.ctx, d)
+	burner.Process.Kill()
+	return setAffinity(p.life.PID, &all)
+}
+
+// setAffinity binds every thread of a process.
+func setAffinity(pid int, set *unix.CPUSet) error {
+	threads, err := os.ReadDir(fmt.Sprintf("/proc/%d/task", pid))
+	if err != nil {
+		return nil // it has ended
+	}
+	for _, t := range threads {
+		tid, _ := strconv.Atoi(t.Name())
+		if err := unix.SchedSetaffinity(tid, set); err != nil && err != unix.ESRCH {
+			return fmt.Errorf("process: affinity: %w", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/testbed/run/series.go
@@ -0,0 +1,99 @@
+package run
+
+import (
+	"slices"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/testbed/audit"
+	"onyxroad.dev/onyxroad/internal/testbed/ledger"
+)
+
+// Series is a run second by second, for its report.
+type Series struct {
+	Seconds  int              `json:"seconds"`
+	Outcomes map[string][]int `json:"outcomes"` // by the second in which a message was first due
+	P50      []float64        `json:"p50_ms"`   // of the messages delivered; 0 where there were none
+	P99      []float64        `json:"p99_ms"`
+	Partners []PartnerSeries  `json:"partners"`
+	Alive    []int            `json:"alive"` // relays with a ready process
+	Faults   []Mark           `json:"faults"`
+}
+
+// PartnerSeries is one partner's calls beside its limit.
+type PartnerSeries struct {
+	ID       int       `json:"id"`
+	Kind     string    `json:"kind"`
+	Taken    []int     `json:"taken"`
+	Refused  []int     `json:"refused"`
+	Failed   []int     `json:"failed"`
+	Limit    []float64 `json:"limit"` // calls a second; 0: none
+	Capacity float64   `json:"capacity"`
+}
+
+// Mark is a fault on the time line, in seconds.
+type Mark struct {
+	Kind string  `json:"kind"`
+	From float64 `json:"from"`
+	To   float64 `json:"to"`
+}
+
+// series sums the run up by the second.
+func (c *conductor) series(fates []audit.Fate) *Series {
+	n := int((c.end-c.offset)/time.Second) + 1
+	s := &Series{Seconds: n, Outcomes: map[string][]int{}, P50: make([]float64, n), P99: make([]float64, n), Alive: make([]int, n)}
+	for _, name := range audit.Outcomes {
+		s.Outcomes[name] = make([]int, n)
+	}
+	took := make([][]float64, n)
+	at := func(t time.Duration) int { return max(0, min(n-1, int(t/time.Second))) }
+	for _, f := range fates {
+		i := at(f.At)
+		s.Outcomes[audit.Outcomes[f.Outcome]][i]++
+		if f.Outcome <= audit.TooLate {
+			took[i] = append(took[i], f.Took.Seconds()*1000)
+		}
+	}
+	for i, t := range took {
+		if slices.Sort(t); len(t) > 0 {
+			s.P50[i], s.P99[i] = t[len(t)/2], t[len(t)*99/100]
+		}
+	}
+	for i := range c.plan.Partners {
+		d := &c.plan.Partners[i]
+		p := PartnerSeries{ID: d.ID, Kind: c.plan.Experiment.Partners.Kinds[d.Kind].Name, Taken: make([]int, n), Refused: make([]int, n),
+			Failed: make([]int, n), Limit: make([]float64, n), Capacity: d.Capacity}
+		for k := range p.Limit {
+			for _, x := range c.book.Limits {
+				if x.Partner == i && x.At <= c.offset+time.Duration(k)*time.Second {
+					p.Limit[k] = x.Limit
+				}
+			}
+		}
+		s.Partners = append(s.Partners, p)
+	}
+	for _, x := range c.book.Calls {
+		p, i := &s.Partners[c.plan.Endpoints[x.Endpoint].Partner], at(x.FirstByte-c.offset)
+		switch x.Status {
+		case 200:
+			p.Taken[i]++
+		case 429, 503:
+			p.Refused[i]++
+		default:
+			p.Failed[i]++
+		}
+	}
+	for k := range s.Alive {
+		t := c.offset + time.Duration(k)*time.Second
+		up := map[int]bool{}
+		for _, x := range c.book.Lives {
+			if x.Ready != ledger.Never && x.Ready <= t && (x.End == ledger.Never || x.End > t) {
+				up[x.Relay] = true
+			}
+		}
+		s.Alive[k] = len(up)
+	}
+	for _, f := range c.plan.Faults {
+		s.Faults = append(s.Faults, Mark{f.Kind, f.At.Seconds(), (f.At + f.For).Seconds()})
+	}
+	return s
+}
