--- a/internal/testbed/platform/endpoint.go
+++ b/internal/testbed/platform/endpoint.go
@@ -32,6 +32,7 @@
 	mu    sync.Mutex
 	l     net.Listener
 	conns map[net.Conn]struct{}
+	full  bool // no listener, since it holds as many connections as it accepts
 }
 
 // open has the endpoint's machine come up.
@@ -41,6 +42,7 @@
 	if s.l != nil || s.x.ctx.Err() != nil {
 		return nil
 	}
+	s.full = false
 	l, err := network.Listen(s.x.ports.base + portEndpoints + s.index)
 	if err != nil {
 		return err
@@ -60,25 +62,38 @@
 			open := s.l == l
 			if open {
 				s.conns[c] = struct{}{}
+				s.crowd()
 			}
-			n := len(s.conns)
 			s.mu.Unlock()
 			if !open {
 				network.Reset(c)
 				continue
 			}
 			s.x.work.Go(func() {
-				s.serve(c, n)
+				s.serve(c)
+				c.Close()
 				s.mu.Lock()
+				_, held := s.conns[c]
 				delete(s.conns, c)
+				full := s.full && held
 				s.mu.Unlock()
-				c.Close()
+				if full {
+					s.open()
+				}
 			})
 		}
 	})
 	return nil
 }
 
+// crowd refuses further connections while the endpoint holds as many as it accepts; with mu held.
+func (s *server) crowd() {
+	if most := s.x.plan.Endpoints[s.index].Conns; most > 0 && len(s.conns) >= most {
+		s.l.Close()
+		s.l, s.full = nil, true
+	}
+}
+
 // close has it end: its connections are reset, new ones refused.
 func (s *server) close() {
 	s.mu.Lock()
@@ -87,6 +102,7 @@
 		s.l.Close()
 		s.l = nil
 	}
+	s.full = false
 	for c := range s.conns {
 		network.Reset(c)
 	}
@@ -101,18 +117,16 @@
 	relay int
 	path  *network.Path
 	next  chan error // the next request's first byte has come, or the connection has ended
-	full  bool       // the endpoint holds too many
 	fresh bool
 }
 
-func (s *server) serve(c net.Conn, held int) {
+func (s *server) serve(c net.Conn) {
 	relay := caller(c.LocalAddr())
 	if relay < 0 || relay >= len(s.x.plan.Relays) {
 		return
 	}
-	e := &s.x.plan.Endpoints[s.index]
 	x := &session{server: s, c: c, r: bufio.NewReaderSize(c, 4096), relay: relay, path: s.x.path(pair{relay, s.index}),
-		full: e.Conns > 0 && held > e.Conns, fresh: true, next: make(chan error, 1)}
+		fresh: true, next: make(chan error, 1)}
 	idle := time.Duration(s.x.plan.Experiment.Partners.IdleSeconds * float64(time.Second))
 	x.listen(func() {})
 	for {
@@ -297,9 +311,6 @@
 	switch {
 	case crowded:
 		return x.refuse(call, 503, "Slots-Taken: 1\r\n", verdict{})
-	case x.full:
-		v = verdict{status: 503}
-		p.partners.witness(x.relay, x.index)
 	case left == 0 && len(items) == 1:
 		return x.refuse(call, map[string]int{"gone": 410, "exhausted": 504}[states[0]], "", verdict{})
 	default:
--- a/internal/testbed/platform/partner.go
+++ b/internal/testbed/platform/partner.go
@@ -357,12 +357,3 @@
 		}
 	}
 }
-
-// witness notes that a call of a relay failed at an endpoint before the endpoint could see it.
-func (s *partners) witness(relay, i int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if o := s.endpoints[i].scope.outage; o != nil && o.To == ledger.Never {
-		o.Witness[relay] = true
-	}
-}
