--- a/internal/testbed/report/report.go
+++ b/internal/testbed/report/report.go
@@ -26,7 +26,7 @@
 var (
 	colors = map[string]color.Color{"in time": color.RGBA{46, 125, 50, 255}, "late": color.RGBA{249, 168, 37, 255},
 		"refused": color.RGBA{21, 101, 192, 255}, "failed": color.RGBA{198, 40, 40, 255}, "no answer": color.RGBA{97, 97, 97, 255}}
-	shade = color.RGBA{180, 60, 60, 40}
+	shade = color.NRGBA{180, 60, 60, 40}
 	grey  = color.RGBA{97, 97, 97, 255}
 )
 
