Take either timer's word for a time-out in the test of a hole

The test failed where it ran on a clean checkout, in one run of several: a dial with a time-out ends by the context's timer or by the socket's, whichever fires first, and only the socket's error is os.ErrDeadlineExceeded. Seen in 1 of 60 runs here before, with the same line; the hole itself had held in all of them. The test now asks the error whether it is a time-out: 60 runs without a failure. The only other place that compares with that error reads from a connection that is up, where there is one timer.

--- a/internal/testbed/network/network_test.go
+++ b/internal/testbed/network/network_test.go
@@ -82,7 +82,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := dial(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+	// Either of the dial's two timers may say so, the context's or the socket's, with errors of their own.
+	if err, ok := errors.AsType[net.Error](dial(1)); !ok || !err.Timeout() {
 		t.Errorf("a hole: %v", err)
 	}
 	if err := dial(2); err != nil {
