Have answers get lost in silence in the testbed, and compare two builds seed by seed

It had no answers that get lost while their connection stays, and compare threw away that both builds play the same seeds: a build that was better on four of five seeds counted as within noise, since seeds scatter more than builds.

--- a/internal/testbed/experiment/experiment.go
+++ b/internal/testbed/experiment/experiment.go
@@ -167,6 +167,7 @@
 	"delay":     "Size times the delay between relays and partners",
 	"reset":     "Size of the calls have their connection reset once they are written",
 	"answers":   "Size of the answers get lost with their connection",
+	"silent":    "Size of the answers never come, and their connection stays",
 	"slow":      "partners take Size times as long",
 	"tail":      "Size of one class's messages take 20 times as long",
 	"errors":    "partners fail Size of their calls at once",
--- a/internal/testbed/network/path.go
+++ b/internal/testbed/network/path.go
@@ -37,6 +37,7 @@
 	Duplicate float64       // share of datagrams that come twice
 	Reorder   float64       // share of datagrams that come a delay late
 	Reset     float64       // share of calls whose connection is reset
+	Silent    float64       // share of answers that never come, while their connection stays
 	Cut       bool          // nothing arrives: TCP's is late until the cut is over, a datagram is gone
 }
 
@@ -111,6 +112,13 @@
 	return p.now[d].Reset > 0 && p.rng.Float64() < p.now[d].Reset
 }
 
+// Silences draws whether an answer in this direction never comes.
+func (p *Path) Silences(d Direction) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.now[d].Silent > 0 && p.rng.Float64() < p.now[d].Silent
+}
+
 // datagram draws what becomes of a datagram: when each copy of it arrives; none if it is lost.
 func (p *Path) datagram(d Direction) (copies []time.Duration) {
 	p.mu.Lock()
--- a/internal/testbed/plan/faults.go
+++ b/internal/testbed/plan/faults.go
@@ -57,7 +57,7 @@
 			}
 		case "release":
 			p.release(rng, &f, share)
-		case "loss", "delay", "reset", "answers":
+		case "loss", "delay", "reset", "answers", "silent":
 			f.Relays = p.strikeRelays(rng, cmp.Or(share, 1), f.Building)
 		case "slow", "errors", "shut", "down", "hang", "limits":
 			f.Partners, f.Endpoints = p.strikePartners(rng, x, share, f.Building)
--- a/internal/testbed/platform/endpoint.go
+++ b/internal/testbed/platform/endpoint.go
@@ -318,7 +318,7 @@
 	}
 	book.Do(func() { call.Outage, call.Wait, call.Work, call.Ran = v.outage, v.wait, v.work, v.run })
 	if v.never {
-		<-x.gone() // until it gives up, or the trouble ends with its machine
+		x.left(func() bool { return !x.hangs() })
 		return false
 	}
 	if network.Sleep(p.ctx, v.work) != nil || resets {
@@ -330,7 +330,7 @@
 	case v.status == 503:
 		return x.refuse(call, 503, "", v)
 	}
-	if x.path.Pass(p.ctx, network.Back) != nil || x.path.Resets(network.Back) {
+	if !x.back() {
 		return false
 	}
 	if garbled := p.plan.Experiment.Partners.Garbled; garbled.Hi > 0 && rand.Float64() < garbled.Hi {
@@ -345,22 +345,29 @@
 	return x.write(call, v.status, body, v.report, "") == nil
 }
 
-// gone is closed when the relay has left or the run is over.
-func (x *session) gone() <-chan struct{} {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for x.x.ctx.Err() == nil {
-			x.x.partners.mu.Lock()
-			hang := x.x.partners.endpoints[x.index].hang
-			x.x.partners.mu.Unlock()
-			if !hang || len(x.next) > 0 {
-				return
-			}
-			network.Sleep(x.x.ctx, 20*time.Millisecond)
-		}
-	}()
-	return done
+// back waits until an answer has reached the relay; false if it never does.
+func (x *session) back() bool {
+	if x.path.Pass(x.x.ctx, network.Back) != nil || x.path.Resets(network.Back) {
+		return false
+	}
+	if x.path.Silences(network.Back) {
+		x.left(func() bool { return false })
+		return false
+	}
+	return true
+}
+
+// hangs tells whether the endpoint takes calls and answers none.
+func (x *session) hangs() bool {
+	x.x.partners.mu.Lock()
+	defer x.x.partners.mu.Unlock()
+	return x.x.partners.endpoints[x.index].hang
+}
+
+// left waits until the relay has left, the trouble that over tells of is over, or the run is.
+func (x *session) left(over func() bool) {
+	for len(x.next) == 0 && !over() && network.Sleep(x.x.ctx, 20*time.Millisecond) == nil {
+	}
 }
 
 // over tells which messages of a call are over, withdrawn or out of attempts, and counts the others' attempt.
@@ -415,10 +422,7 @@
 
 // refuse writes an answer which proves that nothing of the call has run.
 func (x *session) refuse(call *ledger.Call, status int, headers string, v verdict) bool {
-	if x.path.Pass(x.x.ctx, network.Back) != nil || x.path.Resets(network.Back) {
-		return false
-	}
-	return x.write(call, status, nil, v.report, headers) == nil
+	return x.back() && x.write(call, status, nil, v.report, headers) == nil
 }
 
 // write writes an answer in one go and notes it.
@@ -467,10 +471,10 @@
 	}
 	v := x.x.partners.call(x.relay, x.index, x.x.book.Now(), 10*time.Millisecond, 1, -1)
 	if v.never {
-		<-x.gone()
+		x.left(func() bool { return !x.hangs() })
 		return false
 	}
-	if network.Sleep(x.x.ctx, v.work) != nil || x.path.Pass(x.x.ctx, network.Back) != nil {
+	if network.Sleep(x.x.ctx, v.work) != nil || !x.back() {
 		return false
 	}
 	status := 200
--- a/internal/testbed/platform/platform.go
+++ b/internal/testbed/platform/platform.go
@@ -186,7 +186,7 @@
 		for _, e := range f.Endpoints {
 			x.servers[e].close()
 		}
-	case "cut", "one-way", "loss", "delay", "reset", "answers":
+	case "cut", "one-way", "loss", "delay", "reset", "answers", "silent":
 		x.mu.Lock()
 		x.running = append(x.running, f)
 		x.mu.Unlock()
@@ -215,7 +215,7 @@
 			errs = append(errs, x.servers[e].open())
 		}
 		return errors.Join(errs...)
-	case "cut", "one-way", "loss", "delay", "reset", "answers":
+	case "cut", "one-way", "loss", "delay", "reset", "answers", "silent":
 		x.mu.Lock()
 		for i := range x.running {
 			if x.running[i] == f {
@@ -296,6 +296,8 @@
 			c[network.Out].Reset = max(c[network.Out].Reset, f.Size)
 		case "answers":
 			c[network.Back].Reset = max(c[network.Back].Reset, f.Size)
+		case "silent":
+			c[network.Back].Silent = max(c[network.Back].Silent, f.Size)
 		}
 	}
 	return c
--- a/internal/testbed/run/compare.go
+++ b/internal/testbed/run/compare.go
@@ -6,20 +6,26 @@
 	"slices"
 )
 
-// Comparison is a figure of two revisions, each played several times.
+// Comparison is a figure of two revisions, each played once on every seed.
 type Comparison struct {
 	Name       string
 	Base, With string // revisions
 	A, B       []float64
+	Better     int     // seeds on which With's figure is the greater one
 	P          float64 // chance of ranks at least as far apart if the two were alike; two-sided
 }
 
-// Compare compares a figure's values by the rank test of Mann and Whitney, exactly: it asks nothing of how plays scatter.
+// Compare compares a figure's values, those of a seed at the same place. The seed decides on most of a figure, so that it is
+// the differences that are judged: by the signed-rank test of Wilcoxon, exactly, which asks nothing of how plays scatter.
 func Compare(name, base, with string, a, b []float64) Comparison {
-	a, b = slices.Clone(a), slices.Clone(b)
-	slices.Sort(a)
-	slices.Sort(b)
-	return Comparison{name, base, with, a, b, rankTest(a, b)}
+	c := Comparison{Name: name, Base: base, With: with, P: rankTest(a, b)}
+	for i := range a {
+		if b[i] > a[i] {
+			c.Better++
+		}
+	}
+	c.A, c.B = slices.Sorted(slices.Values(a)), slices.Sorted(slices.Values(b))
+	return c
 }
 
 // Clear tells whether the difference stands out of noise.
@@ -30,53 +36,51 @@
 	if c.Clear() {
 		verdict = "stands out"
 	}
-	return fmt.Sprintf("%-18s %s %.3f (%.3f to %.3f)   %s %.3f (%.3f to %.3f)   p %.3f, %s", c.Name, c.Base, median(c.A), c.A[0],
-		c.A[len(c.A)-1], c.With, median(c.B), c.B[0], c.B[len(c.B)-1], c.P, verdict)
+	return fmt.Sprintf("%-18s %s %.3f (%.3f to %.3f)   %s %.3f (%.3f to %.3f)   higher on %d of %d seeds, p %.3f, %s", c.Name, c.Base,
+		median(c.A), c.A[0], c.A[len(c.A)-1], c.With, median(c.B), c.B[0], c.B[len(c.B)-1], c.Better, len(c.A), c.P, verdict)
 }
 
 // median of sorted values.
 func median(v []float64) float64 { return (v[(len(v)-1)/2] + v[len(v)/2]) / 2 }
 
-// rankTest is the two-sided p of the difference between two samples: of all ways to deal the ranks out, the share in which
-// the first sample's sum lies at least as far from its mean. Ties share the mean of their ranks.
+// rankTest is the two-sided p of paired differences: of all ways to deal out their signs, the share in which the ranks of
+// the positive ones add up to as little or as much. Pairs that are alike count for nothing, ties share their mean rank.
 func rankTest(a, b []float64) float64 {
-	all := slices.Concat(a, b)
-	sorted := slices.Sorted(slices.Values(all))
-	ranks := make([]int, len(all)) // doubled, so that ties stay whole
-	for i, x := range all {
-		lo, _ := slices.BinarySearch(sorted, x)
-		hi := lo
-		for hi < len(sorted) && sorted[hi] == x {
-			hi++
+	var diffs []float64
+	for i := range a {
+		if d := b[i] - a[i]; d != 0 {
+			diffs = append(diffs, d)
 		}
-		ranks[i] = lo + hi + 1
-	}
-	sum := 0
-	for _, r := range ranks[:len(a)] {
-		sum += r
 	}
-	// ways[k][s] counts the ways to choose k of the ranks that add up to s.
-	total := 0
-	for _, r := range ranks {
-		total += r
+	sizes := make([]float64, len(diffs))
+	for i, d := range diffs {
+		sizes[i] = math.Abs(d)
 	}
-	ways := make([][]float64, len(a)+1)
-	for k := range ways {
-		ways[k] = make([]float64, total+1)
-	}
-	ways[0][0] = 1
-	for _, r := range ranks {
-		for k := len(a); k > 0; k-- {
-			for s := total; s >= r; s-- {
-				ways[k][s] += ways[k-1][s-r]
-			}
+	slices.Sort(sizes)
+	// ways[s] counts the deals whose positive ranks, doubled so that ties stay whole, add up to s.
+	ways, sum := []float64{1}, 0
+	for _, d := range diffs {
+		lo, _ := slices.BinarySearch(sizes, math.Abs(d))
+		hi := lo
+		for hi < len(sizes) && sizes[hi] == math.Abs(d) {
+			hi++
+		}
+		rank := lo + hi + 1
+		if d > 0 {
+			sum += rank
+		}
+		next := make([]float64, len(ways)+rank)
+		for s, n := range ways {
+			next[s] += n
+			next[s+rank] += n
 		}
+		ways = next
 	}
-	mean := float64(total) * float64(len(a)) / float64(len(all))
+	mean := float64(len(ways)-1) / 2
 	far, every := 0.0, 0.0
-	for s, n := range ways[len(a)] {
+	for s, n := range ways {
 		every += n
-		if math.Abs(float64(s)-mean) >= math.Abs(float64(sum)-mean)-1e-9 {
+		if math.Abs(float64(s)-mean) >= math.Abs(float64(sum)-mean) {
 			far += n
 		}
 	}
