--- /dev/null
+++ b/cmd/cherrytrestle/files_testbed.go
@@ -0,0 +1,23 @@
+//go:build testbed
+
+package main
+
+import (
+	"os"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/disk"
+	"onyxroad.dev/onyxroad/internal/disk/tracedisk"
+)
+
+// files is the state folder on the testbed's emulated disk, in a build that the testbed makes for itself.
+func files(dir string) (disk.FS, error) {
+	if trace := os.Getenv(tracedisk.Env); trace != "" {
+		return tracedisk.Open(disk.Dir(dir), trace)
+	}
+	if text := os.Getenv(tracedisk.EnvSync); text != "" {
+		d, err := time.ParseDuration(text)
+		return tracedisk.Timed{Dir: disk.Dir(dir), Sync: d}, err
+	}
+	return disk.Dir(dir), nil
+}
--- /dev/null
+++ b/cmd/cherrytrestlectl/main_test.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/disk"
+	"onyxroad.dev/onyxroad/internal/wal"
+)
+
+// ctl runs a command line.
+func ctl(args ...string) (code int, out string) {
+	var b bytes.Buffer
+	code = command(args, &b, &b)
+	return code, b.String()
+}
+
+// folder is a stopped relay's folder with two messages, one of which may have run.
+func folder(t *testing.T, format int) (dir string) {
+	t.Helper()
+	dir = t.TempDir()
+	lock, err := wal.Lock(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lock.Close()
+	l, _, err := wal.OpenWith(wal.Options{Dir: dir, Limit: 1 << 20, Format: format, Name: "n3"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	one := &wal.Message{ID: 1, Trace: "one", Dest: 7, Deadline: time.Unix(2e9, 0)}
+	two := &wal.Message{ID: 2, Trace: "two", Dest: 7, Deadline: time.Unix(2e9, 0)}
+	if err := l.Accept(one, two); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Sent(wal.Send{Message: one, Attempt: wal.Attempt{Host: "s-1"}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+// content is every file of a folder.
+func content(t *testing.T, dir string) (all []string) {
+	t.Helper()
+	names, err := disk.Dir(dir).Names()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range names {
+		data, _ := os.ReadFile(filepath.Join(dir, n))
+		all = append(all, n+"="+string(data))
+	}
+	return all
+}
+
+func TestCheckAndShowChangeNothing(t *testing.T) {
+	for _, format := range []int{1, wal.Format} {
+		dir := folder(t, format)
+		before := content(t, dir)
+		code, out := ctl("state", "check", dir)
+		if code != 0 || !strings.Contains(out, "Nothing that was promised is lost") || !strings.Contains(out, "2 messages: 2 held") {
+			t.Errorf("format %d: %d, %s", format, code, out)
+		}
+		code, out = ctl("--json", "state", "show", dir)
+		var ms []struct {
+			Trace  string
+			MayRun int
+		}
+		if err := json.Unmarshal([]byte(out), &ms); err != nil || code != 0 || len(ms) != 2 || ms[0].MayRun != 1 || ms[1].Trace != "two" {
+			t.Errorf("format %d: %d, %s, %v", format, code, out, err)
+		}
+		if !slices.Equal(content(t, dir), before) {
+			t.Errorf("format %d: changed", format)
+		}
+	}
+}
+
+func TestRepairIntoEitherFormat(t *testing.T) {
+	dir := folder(t, wal.Format)
+	for _, format := range []string{"1", "2", "0"} {
+		if code, out := ctl("state", "repair", "--format", format, dir); code != 0 || strings.Count(out, "2 messages: 2 held") != 2 {
+			t.Fatalf("to format %s: %d, %s", format, code, out)
+		}
+	}
+	if code, out := ctl("state", "repair", "--adopt", "n4", dir); code != 0 || !strings.Contains(out, `by relay "n4"`) {
+		t.Errorf("adopt: %d, %s", code, out)
+	}
+}
+
+func TestDamageIsToldAndMended(t *testing.T) {
+	dir := folder(t, wal.Format)
+	seg := filepath.Join(dir, "seg-00000001")
+	data, err := os.ReadFile(seg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	copy(data[len(data)/2:], "damaged!")
+	if err := os.WriteFile(seg, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code, out := ctl("state", "check", dir); code != 1 || !strings.Contains(out, "can't be read") {
+		t.Errorf("check: %d, %s", code, out)
+	}
+	ctl("state", "repair", dir)
+	if code, out := ctl("state", "check", dir); code != 0 {
+		t.Errorf("after a repair: %d, %s", code, out)
+	}
+}
+
+func TestAServingRelaysFolderIsLeftAlone(t *testing.T) {
+	dir := folder(t, wal.Format)
+	lock, err := wal.Lock(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lock.Close()
+	for _, args := range [][]string{{"state", "check", dir}, {"state", "repair", dir}} {
+		if code, out := ctl(args...); code != 2 || !strings.Contains(out, "stop it first") {
+			t.Errorf("%v: %d, %s", args, code, out)
+		}
+	}
+}
+
+func TestWrongUse(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "x.toml")
+	if err := os.WriteFile(file, []byte("[state]\ndurabilty = 1\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code, out := ctl("config", "check", file); code != 1 || !strings.Contains(out, "x.toml:2") {
+		t.Errorf("%d, %s", code, out)
+	}
+	for _, args := range [][]string{{}, {"state"}, {"state", "check"}, {"state", "check", "/nowhere/at/all"}, {"what"}} {
+		if code, _ := ctl(args...); code != 2 {
+			t.Errorf("%v: exit code %d", args, code)
+		}
+	}
+	if code, out := ctl("--help"); code != 0 || !strings.Contains(out, "state") {
+		t.Errorf("--help: %d, %s", code, out)
+	}
+}
--- /dev/null
+++ b/internal/disk/crashdisk/crashdisk.go
@@ -0,0 +1,393 @@
+// Package crashdisk is a folder in memory that knows what a loss of power would leave of it: for every write, change of a
+// size, new name, rename and removal since the last sync, that it came to the disk or did not, in any order, writes torn at
+// sectors. It is harsher than any file system: those keep at least the order of names.
+//
+// It also fails on demand, as a disk that is full, read-only, slow or broken does.
+package crashdisk
+
+import (
+	"fmt"
+	"io/fs"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+
+	"onyxroad.dev/onyxroad/internal/disk"
+)
+
+// Disk is such a folder.
+type Disk struct {
+	mu    sync.Mutex
+	names map[string]*inode // as the process sees them
+	kept  map[string]*inode // as they are on disk
+	moves []move            // since the last sync of the folder
+	// Fail is asked before every operation that changes anything, and may fail it: "write", "reserve", "sync", "open",
+	// "rename", "remove", "guard", "syncdir". A write that fails may have written a part.
+	Fail func(op, name string) error
+	// After is told of every operation that changes something, once it is done.
+	After func(op, name string)
+}
+
+// move is a change of the folder: some name goes, some name comes.
+type move struct {
+	from, to string // "": none
+	node     *inode
+}
+
+type inode struct {
+	data   []byte // as the process sees it
+	kept   []byte // as it is on disk
+	writes []write
+	folder bool
+}
+
+// write is a change of a file since its last sync: bytes at an offset, or a size.
+type write struct {
+	off  int64
+	data []byte
+	size int64 // -1: no change of the size alone
+}
+
+// New returns an empty folder.
+func New() *Disk { return &Disk{names: map[string]*inode{}, kept: map[string]*inode{}} }
+
+func (d *Disk) fail(op, name string) error {
+	if d.Fail == nil {
+		return nil
+	}
+	return d.Fail(op, name)
+}
+
+func (d *Disk) after(op, name string) {
+	if d.After != nil {
+		d.After(op, name)
+	}
+}
+
+func (d *Disk) Open(name string) (disk.File, error) {
+	if err := d.fail("open", name); err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	n := d.names[name]
+	made := n == nil
+	if made {
+		n = &inode{}
+		d.names[name] = n
+		d.moves = append(d.moves, move{to: name, node: n})
+	}
+	d.mu.Unlock()
+	if made {
+		d.after("open", name)
+	}
+	return &File{d, n, name}, nil
+}
+
+func (d *Disk) ReadFile(name string) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.names[name]
+	if n == nil || n.folder {
+		return nil, &fs.PathError{Op: "open", Path: name, Err: fs.ErrNotExist}
+	}
+	return slices.Clone(n.data), nil
+}
+
+func (d *Disk) Names() ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var all []string
+	for name, n := range d.names {
+		if n.folder {
+			name += "/"
+		}
+		all = append(all, name)
+	}
+	slices.Sort(all)
+	return all, nil
+}
+
+func (d *Disk) Rename(from, to string) error {
+	if err := d.fail("rename", from); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	n := d.names[from]
+	if n == nil {
+		d.mu.Unlock()
+		return &fs.PathError{Op: "rename", Path: from, Err: fs.ErrNotExist}
+	}
+	delete(d.names, from)
+	d.names[to] = n
+	d.moves = append(d.moves, move{from, to, n})
+	d.mu.Unlock()
+	d.after("rename", from)
+	return nil
+}
+
+func (d *Disk) Remove(name string) error {
+	if err := d.fail("remove", name); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	_, ok := d.names[name]
+	if ok {
+		delete(d.names, name)
+		d.moves = append(d.moves, move{from: name})
+	}
+	d.mu.Unlock()
+	if ok {
+		d.after("remove", name)
+	}
+	return nil
+}
+
+func (d *Disk) Guard(name, _ string) error {
+	if err := d.fail("guard", name); err != nil {
+		return err
+	}
+	d.mu.Lock()
+	_, ok := d.names[name]
+	if !ok {
+		n := &inode{folder: true}
+		d.names[name] = n
+		d.moves = append(d.moves, move{to: name, node: n})
+	}
+	d.mu.Unlock()
+	if !ok {
+		d.after("guard", name)
+	}
+	return nil
+}
+
+func (d *Disk) SyncDir() error {
+	done := d.BeginSyncDir()
+	if err := d.fail("syncdir", ""); err != nil {
+		return err
+	}
+	done()
+	d.after("syncdir", "")
+	return nil
+}
+
+// BeginSyncDir begins a sync of the folder. What has changed by now is on disk once done is called.
+func (d *Disk) BeginSyncDir() (done func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	names, todo := maps.Clone(d.names), len(d.moves)
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.kept, d.moves = names, slices.Clone(d.moves[min(todo, len(d.moves)):])
+	}
+}
+
+// File is one of its files.
+type File struct {
+	d    *Disk
+	n    *inode
+	name string
+}
+
+func (f *File) WriteAt(p []byte, off int64) (int, error) {
+	err := f.d.fail("write", f.name)
+	if err != nil {
+		p = p[:len(p)/2] // a part of it
+	}
+	f.d.mu.Lock()
+	f.n.data = put(f.n.data, p, off)
+	f.n.writes = append(f.n.writes, write{off, slices.Clone(p), -1})
+	f.d.mu.Unlock()
+	f.d.after("write", f.name)
+	return len(p), err
+}
+
+func (f *File) Truncate(size int64) error {
+	if err := f.d.fail("write", f.name); err != nil {
+		return err
+	}
+	f.d.mu.Lock()
+	changed := int64(len(f.n.data)) != size
+	if changed {
+		f.n.data = resize(f.n.data, size)
+		f.n.writes = append(f.n.writes, write{size: size})
+	}
+	f.d.mu.Unlock()
+	if changed {
+		f.d.after("truncate", f.name)
+	}
+	return nil
+}
+
+func (f *File) Reserve(int64, int64) error { return f.d.fail("reserve", f.name) }
+
+func (f *File) Sync() error {
+	done := f.BeginSync()
+	if err := f.d.fail("sync", f.name); err != nil {
+		return err
+	}
+	done()
+	f.d.after("sync", f.name)
+	return nil
+}
+
+// BeginSync begins a sync. What was written by now is on disk once done is called; what comes meanwhile need not be.
+func (f *File) BeginSync() (done func()) {
+	f.d.mu.Lock()
+	defer f.d.mu.Unlock()
+	todo, data := len(f.n.writes), slices.Clone(f.n.data)
+	return func() {
+		f.d.mu.Lock()
+		defer f.d.mu.Unlock()
+		f.n.kept, f.n.writes = data, slices.Clone(f.n.writes[min(todo, len(f.n.writes)):])
+	}
+}
+
+func (f *File) Close() error { return nil }
+
+func put(data, p []byte, off int64) []byte {
+	if end := off + int64(len(p)); int64(len(data)) < end {
+		data = resize(data, end)
+	}
+	copy(data[off:], p)
+	return data
+}
+
+func resize(data []byte, size int64) []byte {
+	if int64(len(data)) >= size {
+		return data[:size:size]
+	}
+	return append(slices.Clip(data), make([]byte, size-int64(len(data)))...)
+}
+
+// Pieces is how many things may each have come to the disk or not: 2 to their number is the number of states in which a
+// loss of power now may leave the folder.
+func (d *Disk) Pieces() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := len(d.moves)
+	for _, node := range d.nodes() {
+		for _, w := range node.writes {
+			n += len(pieces(w))
+		}
+	}
+	return n
+}
+
+// nodes lists the files, each once, in the order of their names on disk, then seen; with mu held.
+func (d *Disk) nodes() (all []*inode) {
+	seen := map[*inode]bool{}
+	add := func(n *inode) {
+		if n != nil && !seen[n] {
+			seen[n] = true
+			all = append(all, n)
+		}
+	}
+	for _, of := range []map[string]*inode{d.kept, d.names} {
+		for _, name := range slices.Sorted(maps.Keys(of)) {
+			add(of[name])
+		}
+	}
+	for _, m := range d.moves {
+		add(m.node)
+	}
+	return all
+}
+
+// pieces splits a write at sectors.
+func pieces(w write) (all []write) {
+	if w.data == nil {
+		return []write{w}
+	}
+	for off, data := w.off, w.data; len(data) > 0; {
+		n := min(int64(len(data)), disk.Sector-off%disk.Sector)
+		all = append(all, write{off, data[:n], -1})
+		off, data = off+n, data[n:]
+	}
+	return all
+}
+
+// Crash returns the folder as it is after a loss of power, where keep is asked of each piece whether it came to the disk.
+func (d *Disk) Crash(keep func() bool) *Disk {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	after := map[*inode]*inode{}
+	for _, n := range d.nodes() {
+		now := &inode{data: slices.Clone(n.kept), folder: n.folder}
+		for _, w := range n.writes {
+			for _, p := range pieces(w) {
+				switch {
+				case !keep():
+				case p.data == nil:
+					now.data = resize(now.data, p.size)
+				default:
+					now.data = put(now.data, p.data, p.off)
+				}
+			}
+		}
+		now.kept = slices.Clone(now.data)
+		after[n] = now
+	}
+	x := New()
+	for name, n := range d.kept {
+		x.names[name] = after[n]
+	}
+	for _, m := range d.moves {
+		if !keep() {
+			continue
+		}
+		if m.from != "" {
+			delete(x.names, m.from)
+		}
+		if m.to != "" {
+			x.names[m.to] = after[m.node]
+		}
+	}
+	x.kept = maps.Clone(x.names)
+	return x
+}
+
+// Draw is a keep for Crash that draws, with a bias that is drawn too: from nearly nothing to nearly all.
+func Draw(rng *rand.Rand) func() bool {
+	p := [...]float64{0.03, 0.3, 0.5, 0.7, 0.97}[rng.IntN(5)]
+	return func() bool { return rng.Float64() < p }
+}
+
+// Number is a keep for Crash that takes the bits of a number, the lowest first: with every number below 2 to the number of
+// pieces it gives every state.
+func Number(n uint64) func() bool {
+	return func() bool {
+		bit := n&1 == 1
+		n >>= 1
+		return bit
+	}
+}
+
+// Copy returns the folder as the process sees it, all of it on disk: what is left of it after SIGKILL.
+func (d *Disk) Copy() *Disk { return d.Crash(func() bool { return true }) }
+
+// Flip flips a bit of a file on disk.
+func (d *Disk) Flip(name string, bit int) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := d.names[name]
+	if n == nil || bit/8 >= len(n.data) {
+		return fmt.Errorf("crashdisk: no bit %d in %s", bit, name)
+	}
+	n.data[bit/8] ^= 1 << (bit % 8)
+	n.kept = slices.Clone(n.data)
+	return nil
+}
+
+// Text lists the files with their sizes.
+func (d *Disk) Text() string {
+	names, _ := d.Names()
+	var b strings.Builder
+	for _, n := range names {
+		data, _ := d.ReadFile(n)
+		fmt.Fprintf(&b, "%s:%d ", n, len(data))
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/disk/disk.go
@@ -0,0 +1,124 @@
+// Package disk is the file layer under a state folder: the few operations that the log and its snapshots need, all in one
+// folder. What stands behind it may be the operating system, or an emulation that knows what a loss of power would leave.
+//
+// What it promises after a loss of power is what the operating system promises and no more: what was written to a file is
+// there once Sync has returned, and a name that was made, changed or removed stays so once SyncDir has returned. Everything
+// else may be there or not, in any order, and a write may be torn at 512 bytes.
+package disk
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"golang.org/x/sys/unix"
+)
+
+// Sector is the most that a write leaves whole or not at all, in bytes.
+const Sector = 512
+
+// FS is a folder. Names are plain, without a separator.
+type FS interface {
+	// Open opens a file to be written, which it makes if there is none.
+	Open(name string) (File, error)
+	// ReadFile returns a file's bytes; an error that is fs.ErrNotExist if there is no such file.
+	ReadFile(name string) ([]byte, error)
+	// Names lists what the folder holds in its order; a folder's name ends in a slash.
+	Names() ([]string, error)
+	Rename(from, to string) error
+	// Remove removes a file, or a folder with what is in it. It is no error if there is none.
+	Remove(name string) error
+	// Guard makes a folder with one empty file in it.
+	Guard(name, file string) error
+	SyncDir() error
+}
+
+// File is a file that is open to be written.
+type File interface {
+	WriteAt(p []byte, off int64) (int, error)
+	Truncate(size int64) error
+	// Reserve has room on the disk for bytes from off on, without a change of the file's size. Where the file system
+	// can't, it does nothing.
+	Reserve(off, bytes int64) error
+	Sync() error
+	Close() error
+}
+
+// Dir is a folder of the operating system's.
+type Dir string
+
+func (d Dir) path(name string) string { return filepath.Join(string(d), name) }
+
+// Open opens a file that none but this user may read.
+func (d Dir) Open(name string) (File, error) {
+	f, err := os.OpenFile(d.path(name), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return file{f}, nil
+}
+
+func (d Dir) ReadFile(name string) ([]byte, error) { return os.ReadFile(d.path(name)) }
+
+func (d Dir) Names() ([]string, error) {
+	entries, err := os.ReadDir(string(d))
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		if e.IsDir() {
+			names = append(names, e.Name()+"/")
+		} else {
+			names = append(names, e.Name())
+		}
+	}
+	return names, nil
+}
+
+func (d Dir) Rename(from, to string) error { return os.Rename(d.path(from), d.path(to)) }
+
+func (d Dir) Remove(name string) error { return os.RemoveAll(d.path(name)) }
+
+func (d Dir) Guard(name, file string) error {
+	if err := os.Mkdir(d.path(name), 0o700); err != nil && !errors.Is(err, fs.ErrExist) {
+		return err
+	}
+	inside := filepath.Join(d.path(name), file)
+	f, err := os.OpenFile(inside, os.O_WRONLY|os.O_CREATE, 0o600)
+	if err != nil {
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	return syncDir(d.path(name))
+}
+
+func (d Dir) SyncDir() error { return syncDir(string(d)) }
+
+func syncDir(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := f.Sync(); err != nil {
+		return fmt.Errorf("disk: sync the folder: %w", err)
+	}
+	return nil
+}
+
+type file struct{ *os.File }
+
+func (f file) Sync() error { return unix.Fdatasync(int(f.Fd())) }
+
+func (f file) Reserve(off, bytes int64) error {
+	err := unix.Fallocate(int(f.Fd()), unix.FALLOC_FL_KEEP_SIZE, off, bytes)
+	if err == unix.EOPNOTSUPP || err == unix.ENOSYS || err == unix.EINVAL {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/disk/tracedisk/tracedisk.go
@@ -0,0 +1,260 @@
+// Package tracedisk is a folder of the operating system's whose every change is written down, so that a testbed which kills
+// the process can work out what a loss of power would have left. It also fails and tarries as a file that the testbed
+// writes tells it to. Only builds for the testbed have it.
+package tracedisk
+
+import (
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/disk"
+	"onyxroad.dev/onyxroad/internal/disk/crashdisk"
+)
+
+// Env names the variable that names the trace. A file of that name with ".faults" behind it tells what goes wrong: words
+// "full" (writes fail), "broken" (syncs fail), "slow=50ms" (each sync takes so long).
+const Env = "TESTBED_DISK_TRACE"
+
+// EnvSync names the variable that, where there is no trace, says how long a sync takes.
+const EnvSync = "TESTBED_DISK_SYNC"
+
+// Timed is a folder whose syncs take a time of their own, and sync nothing.
+type Timed struct {
+	disk.Dir
+	Sync time.Duration
+}
+
+// Open opens a file.
+func (d Timed) Open(name string) (disk.File, error) {
+	f, err := d.Dir.Open(name)
+	return timed{f, d.Sync}, err
+}
+
+func (d Timed) SyncDir() error {
+	time.Sleep(d.Sync)
+	return nil
+}
+
+type timed struct {
+	disk.File
+	sync time.Duration
+}
+
+func (f timed) Sync() error {
+	time.Sleep(f.sync)
+	return nil
+}
+
+// Change is one change of the folder.
+type Change struct {
+	Op   string // "open", "write", "truncate", "sync", "rename", "remove", "guard", "syncdir"
+	Name string
+	To   string
+	Off  int64
+	Data []byte
+}
+
+// Disk is such a folder.
+type Disk struct {
+	disk.Dir
+	faults string
+
+	mu  sync.Mutex
+	out *gob.Encoder
+}
+
+// Open returns a folder whose changes go to a trace, which is begun anew.
+func Open(d disk.Dir, trace string) (*Disk, error) {
+	f, err := os.OpenFile(trace, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("tracedisk: %w", err)
+	}
+	return &Disk{Dir: d, faults: trace + ".faults", out: gob.NewEncoder(f)}, nil
+}
+
+// note writes a change down. It is called under mu, around the change itself: the order of the trace is that of the changes.
+func (d *Disk) note(c Change) {
+	if err := d.out.Encode(c); err != nil {
+		panic(fmt.Sprintf("tracedisk: %v", err)) // a trace with a gap proves nothing
+	}
+}
+
+// trouble is what goes wrong now.
+func (d *Disk) trouble() (full, broken bool, slow time.Duration) {
+	text, err := os.ReadFile(d.faults)
+	if err != nil {
+		return false, false, 0
+	}
+	for _, w := range strings.Fields(string(text)) {
+		full, broken = full || w == "full", broken || w == "broken"
+		if v, ok := strings.CutPrefix(w, "slow="); ok {
+			slow, _ = time.ParseDuration(v)
+		}
+	}
+	return full, broken, slow
+}
+
+// do makes a change and writes it down, unless the disk is full.
+func (d *Disk) do(c Change, make func() error) error {
+	if full, _, _ := d.trouble(); full && c.Op != "remove" && c.Op != "syncdir" {
+		return fmt.Errorf("tracedisk: %s %s: %w", c.Op, c.Name, syscall.ENOSPC)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := make(); err != nil {
+		return err
+	}
+	d.note(c)
+	return nil
+}
+
+// Open opens a file.
+func (d *Disk) Open(name string) (f disk.File, err error) {
+	err = d.do(Change{Op: "open", Name: name}, func() error {
+		f, err = d.Dir.Open(name)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &file{f, d, name}, nil
+}
+
+func (d *Disk) Rename(from, to string) error {
+	return d.do(Change{Op: "rename", Name: from, To: to}, func() error { return d.Dir.Rename(from, to) })
+}
+
+func (d *Disk) Remove(name string) error {
+	return d.do(Change{Op: "remove", Name: name}, func() error { return d.Dir.Remove(name) })
+}
+
+func (d *Disk) Guard(name, inside string) error {
+	return d.do(Change{Op: "guard", Name: name, To: inside}, func() error { return d.Dir.Guard(name, inside) })
+}
+
+// SyncDir syncs nothing: the trace decides what a loss of power leaves, and the operating system's disk is not asked.
+func (d *Disk) SyncDir() error { return d.sync(Change{Op: "syncdir"}) }
+
+// sync notes which changes are on disk: those that were written down when it began.
+func (d *Disk) sync(c Change) error {
+	_, broken, slow := d.trouble()
+	d.mu.Lock()
+	d.note(Change{Op: "begin-" + c.Op, Name: c.Name})
+	d.mu.Unlock()
+	time.Sleep(slow)
+	if broken {
+		return fmt.Errorf("tracedisk: %s %s: %w", c.Op, c.Name, syscall.EIO)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.note(c)
+	return nil
+}
+
+type file struct {
+	disk.File
+	d    *Disk
+	name string
+}
+
+func (f *file) WriteAt(p []byte, off int64) (n int, err error) {
+	err = f.d.do(Change{Op: "write", Name: f.name, Off: off, Data: p}, func() error {
+		n, err = f.File.WriteAt(p, off)
+		return err
+	})
+	return n, err
+}
+
+func (f *file) Truncate(size int64) error {
+	return f.d.do(Change{Op: "truncate", Name: f.name, Off: size}, func() error { return f.File.Truncate(size) })
+}
+
+func (f *file) Reserve(off, bytes int64) error {
+	if full, _, _ := f.d.trouble(); full {
+		return syscall.ENOSPC
+	}
+	return f.File.Reserve(off, bytes)
+}
+
+func (f *file) Sync() error { return f.d.sync(Change{Op: "sync", Name: f.name}) }
+
+// Replay works out what a trace has made of a folder, beginning with what the folder held before. What keep says of each
+// piece that was never synced decides on it.
+func Replay(before map[string][]byte, trace string, keep func() bool) (*crashdisk.Disk, error) {
+	f, err := os.Open(trace)
+	if err != nil {
+		return nil, fmt.Errorf("tracedisk: %w", err)
+	}
+	defer f.Close()
+	d := crashdisk.New()
+	for name, data := range before {
+		if strings.HasSuffix(name, "/") {
+			d.Guard(strings.TrimSuffix(name, "/"), "")
+			continue
+		}
+		file, err := d.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		file.WriteAt(data, 0)
+	}
+	d = d.Copy() // it is all on disk
+	r := replay{d: d, files: map[string]*crashdisk.File{}, ends: map[string]func(){}}
+	for in := gob.NewDecoder(f); ; {
+		var c Change
+		if err := in.Decode(&c); errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			return d.Crash(keep), nil // killed while it wrote the trace
+		} else if err != nil {
+			return nil, fmt.Errorf("tracedisk: %w", err)
+		}
+		if err := r.apply(c); err != nil {
+			return nil, fmt.Errorf("tracedisk: %s %s: %w", c.Op, strconv.Quote(c.Name), err)
+		}
+	}
+}
+
+// replay is a trace on its way through a folder in memory.
+type replay struct {
+	d     *crashdisk.Disk
+	files map[string]*crashdisk.File
+	ends  map[string]func() // of syncs that have begun
+}
+
+func (r *replay) apply(c Change) error {
+	f := r.files[c.Name]
+	switch c.Op {
+	case "open":
+		opened, err := r.d.Open(c.Name)
+		if err != nil {
+			return err
+		}
+		r.files[c.Name] = opened.(*crashdisk.File)
+	case "write":
+		_, err := f.WriteAt(c.Data, c.Off)
+		return err
+	case "truncate":
+		return f.Truncate(c.Off)
+	case "begin-sync":
+		r.ends[c.Name] = f.BeginSync()
+	case "begin-syncdir":
+		r.ends[""] = r.d.BeginSyncDir()
+	case "sync", "syncdir":
+		r.ends[c.Name]()
+	case "rename":
+		r.files[c.To] = f
+		return r.d.Rename(c.Name, c.To)
+	case "remove":
+		return r.d.Remove(c.Name)
+	case "guard":
+		return r.d.Guard(c.Name, c.To)
+	}
+	return nil
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/disk"
 	"onyxroad.dev/onyxroad/internal/wire"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -40,6 +41,12 @@
 	Tick           time.Duration // the module is asked no more often than this
 	MayDuplicate   bool          // two attempts of a message may be out at once
 	Reports        []string      // fields of the hosts' load reports; empty: none are sent
+
+	// What the project's own settings file turns on.
+	Segments      bool          // the log is kept in segments
+	Power         bool          // and outlasts a loss of power
+	MemoriesEvery time.Duration // what is known of partners is put down so often; 0: not at all
+	Disk          disk.FS       // the log's files; nil: the operating system's
 }
 
 // Limits are those of the relay's machine.
--- /dev/null
+++ b/internal/relay/durable.go
@@ -0,0 +1,229 @@
+package relay
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// What a step decides is carried out once the log has it as durable as it is to be: at once where the process's end is all
+// that it has to outlast, after a sync where the power's is. One sync serves every step that was written before it, and
+// steps go on meanwhile.
+
+const (
+	// answerMost is how long a client waits for the disk. The platform's clients wait 400 ms for an answer, and the loop
+	// may look at this 200 ms late.
+	answerMost = 150 * time.Millisecond
+	// tellMost is how long an end waits for the disk. One that is told and not on disk may be told again after a loss of
+	// power, or the message may then end otherwise; one that is not told at all is late for certain.
+	tellMost = time.Second
+	// heldMost is how long a call may wait for the disk before the module is asked anew.
+	heldMost = 50 * time.Millisecond
+)
+
+// promise is what a step owes once a write is durable.
+type promise struct {
+	seq       uint64 // of the write
+	since     time.Time
+	waiting   []*handIn
+	answers   map[uint32]answer
+	ended     []*message
+	calls     []*call
+	unwritten bool // the calls are not in the log yet
+}
+
+// promise carries out what a step owes, or keeps it until its write is durable.
+func (r *Relay) promise(p promise) {
+	p.since, p.seq = time.Now(), r.wal.Written()
+	if p.unwritten {
+		p.seq++ // what the new file begins with
+	}
+	if len(r.promises) == 0 && p.seq <= r.wal.Durable() {
+		r.fulfil(p)
+		return
+	}
+	if len(p.waiting)+len(p.ended)+len(p.calls) > 0 {
+		r.promises = append(r.promises, p)
+	}
+}
+
+// redeem carries out what has become durable.
+func (r *Relay) redeem() {
+	for durable := r.wal.Durable(); len(r.promises) > 0 && r.promises[0].seq <= durable; {
+		p := r.promises[0]
+		r.promises = slices.Delete(r.promises, 0, 1)
+		r.fulfil(p)
+	}
+}
+
+func (r *Relay) fulfil(p promise) {
+	for _, in := range p.waiting {
+		in.reply <- p.answers[in.as.ID]
+	}
+	for _, m := range p.ended {
+		r.notify(m)
+	}
+	held := p.unwritten || time.Since(p.since) > heldMost
+	var calls []*call
+	for _, c := range p.calls {
+		if held && !r.mayLeave(c) {
+			r.giveBack([]*call{c}, policy.Moot)
+			continue
+		}
+		calls = append(calls, c)
+	}
+	if p.unwritten && len(calls) > 0 {
+		if err := r.record(calls); err != nil {
+			r.giveBack(calls, policy.Moot)
+			return
+		}
+		r.promise(promise{calls: calls})
+		return
+	}
+	for _, c := range calls {
+		r.launch(c)
+	}
+}
+
+// mayLeave tells whether a call that was held up may still be made.
+func (r *Relay) mayLeave(c *call) bool {
+	var ids []uint32
+	for _, a := range c.attempts {
+		if a.m.ended {
+			return false // of which the module may not have heard yet
+		}
+		ids = append(ids, a.m.ID)
+	}
+	return !r.noSends && time.Now().Before(c.until) && r.sender.MayStill(c.route, r.now(), ids...)
+}
+
+// tend has the log go on after the disk has failed it, and ends the waits of those who have waited too long.
+func (r *Relay) tend() {
+	if worn := !r.wal.Tend(); worn != r.worn {
+		r.worn = worn
+		if worn {
+			r.log.Error("the disk fails the log: nothing new is taken on until a new file is there", "err", r.wal.Failure())
+		} else {
+			r.log.Info("the log goes on in a new file")
+		}
+	}
+	r.redeem()
+	now := time.Now()
+	for i := range r.promises {
+		p := &r.promises[i]
+		if now.Sub(p.since) < answerMost {
+			break
+		}
+		for _, in := range p.waiting {
+			in.reply <- r.overdue(in.as, p.answers[in.as.ID])
+		}
+		p.waiting = nil
+		if now.Sub(p.since) < tellMost {
+			continue
+		}
+		for _, m := range p.ended {
+			r.notify(m)
+		}
+		p.ended = nil
+	}
+}
+
+// overdue is the answer to a client that waits too long for the disk. A message that is not on it is not taken on.
+func (r *Relay) overdue(m *message, a answer) answer {
+	if a.status != 202 || m.seq <= r.wal.Durable() {
+		return a
+	}
+	turned := answer{status: 503, again: policy.RetryAdvice}
+	if m.Withdrawn || !r.wal.Owes(m.Message) {
+		return turned // a second client of the same message
+	}
+	if m.Final != nil {
+		// Ended meanwhile, with a notice that waits too: this answer is its end.
+		for i := range r.promises {
+			p := &r.promises[i]
+			p.ended = slices.DeleteFunc(p.ended, func(x *message) bool { return x == m })
+		}
+		r.letGo(m)
+		return finalAnswer(*m.Final)
+	}
+	r.figures.of(m.Class).deferred.Add(1)
+	r.done(m)
+	m.told = true
+	r.later = append(r.later, policy.Event{Kind: policy.Withdrawn, ID: m.ID})
+	r.letGo(m)
+	r.soon()
+	return turned
+}
+
+// join has a client that hands in a message which is not durable yet wait with the first.
+func (r *Relay) join(in *handIn, old *message) bool {
+	if old.seq <= r.wal.Durable() || old.ended {
+		return false
+	}
+	in.as, old.shared = old, true
+	return true
+}
+
+// settle waits until nothing waits for the disk; false if that takes too long.
+func (r *Relay) settle(most time.Duration) bool {
+	for end := time.Now().Add(most); len(r.promises) > 0; time.Sleep(time.Millisecond) {
+		if r.tend(); time.Now().After(end) {
+			return false
+		}
+	}
+	return true
+}
+
+// soon has the module told of what is kept for the next step, and not by its own wake, which must not be lost.
+func (r *Relay) soon() { time.AfterFunc(r.cfg.Tick, func() { r.post(nudge{}) }) }
+
+// options is how the log is kept.
+func (r *Relay) options() wal.Options {
+	o := wal.Options{Dir: r.cfg.StateDir, Limit: int64(r.cfg.Limits.DiskMB*1e6) - stateReserve, Told: func() {
+		select {
+		case r.synced <- struct{}{}:
+		default:
+		}
+	}}
+	if r.cfg.Segments {
+		o.Format, o.Power, o.Name, o.FS = wal.Format, r.cfg.Power, r.cfg.Name, r.cfg.Disk
+	}
+	if r.cfg.MemoriesEvery > 0 {
+		o.Limit -= 2 * memoriesMost(r.cfg)
+	}
+	return o
+}
+
+// resumeAt sets messages that were found right where the clock stands before what the log has seen: how long they have been
+// out is not known, so that no time is left that may have passed.
+func (r *Relay) resumeAt(found wal.Recovery, latest time.Time) {
+	r.behind = max(0, latest.Sub(time.Now()))
+	if r.behind == 0 {
+		return
+	}
+	r.log.Warn("the clock stands before what the log has seen", "by", r.behind)
+	for _, m := range found.Messages {
+		m.Deadline = m.Deadline.Add(-r.behind)
+	}
+}
+
+// recollect reads what a process before knew of partners, and looks at the clock.
+func (r *Relay) recollect(found wal.Recovery) {
+	latest := found.Latest()
+	if r.cfg.MemoriesEvery > 0 {
+		m, err := readMemories(r.cfg.StateDir)
+		if err != nil && !errors.Is(err, errNoMemories) {
+			r.log.Warn("what was known of partners is lost", "err", err)
+		}
+		r.recalled = m
+		if m.Saved.After(latest) {
+			latest = m.Saved
+		}
+	}
+	if r.cfg.Segments {
+		r.resumeAt(found, latest)
+	}
+}
--- /dev/null
+++ b/internal/relay/durable_test.go
@@ -0,0 +1,187 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/disk/crashdisk"
+	"onyxroad.dev/onyxroad/internal/wal"
+)
+
+// newDurableRelay is a relay in "power" on a disk in memory, whose loop is not running. Its syncs wait for the gate.
+func newDurableRelay(t *testing.T, d *crashdisk.Disk, gate *sync.RWMutex) *Relay {
+	t.Helper()
+	d.Fail = func(op, _ string) error {
+		if op == "sync" {
+			gate.RLock()
+			gate.RUnlock()
+		}
+		return nil
+	}
+	c, err := parseConfig([]byte(`{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":` + settingsJSON +
+		`,"known":{"version":1,"full":true,"servers":[
+		{"id":"s-1","addr":"127.0.0.1:1","zone":"a","kind":"gateway","cell":7,"state":"ready","weight":50}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.StateDir, c.Segments, c.Power, c.Disk, c.MemoriesEvery = t.TempDir(), true, true, d, time.Second
+	r, err := New(t.Context(), c, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); r.calls.Wait(); r.hosts.close(); r.wal.Close() })
+	r.callCtx = ctx
+	r.resume()
+	return r
+}
+
+// answered is a hand-in's answer, if it has one.
+func answered(in *handIn) (a answer, ok bool) {
+	select {
+	case a = <-in.reply:
+		return a, true
+	default:
+		return a, false
+	}
+}
+
+// whole waits until the disk has everything, and carries out what waited for that.
+func whole(t *testing.T, r *Relay) {
+	t.Helper()
+	eventually(t, "all is on disk", func() bool { r.tend(); return len(r.promises) == 0 })
+}
+
+func TestAnAnswerAndACallWaitForTheDisk(t *testing.T) {
+	var gate sync.RWMutex
+	d := crashdisk.New()
+	r := newDurableRelay(t, d, &gate)
+	gate.Lock()
+	in, twin := newHandIn("a", 7, time.Minute), newHandIn("a", 7, time.Minute)
+	r.step([]any{in})
+	r.step([]any{twin})
+	r.tend()
+	_, one := answered(in)
+	_, two := answered(twin)
+	if one || two || r.out > 0 {
+		t.Errorf("before it is on disk: answers %v and %v, %d calls", one, two, r.out)
+	}
+	gate.Unlock()
+	whole(t, r)
+	for _, in := range []*handIn{in, twin} {
+		if a, ok := answered(in); !ok || a.status != http.StatusAccepted {
+			t.Errorf("once it is on disk: %+v, %v", a, ok)
+		}
+	}
+	if r.out != 1 {
+		t.Errorf("%d calls", r.out)
+	}
+	// The power fails here: nothing that was not synced is there.
+	_, found, err := wal.OpenWith(wal.Options{FS: d.Crash(func() bool { return false }), Limit: 1 << 20, Format: wal.Format})
+	if err != nil || len(found.Messages) != 1 || len(found.Messages[0].MayRun) != 1 {
+		t.Errorf("after a loss of power: %+v, %v", found.Messages, err)
+	}
+}
+
+func TestASlowDiskTurnsClientsAway(t *testing.T) {
+	var gate sync.RWMutex
+	r := newDurableRelay(t, crashdisk.New(), &gate)
+	gate.Lock()
+	in, twin := newHandIn("a", 7, time.Minute), newHandIn("a", 7, time.Minute)
+	r.step([]any{in, twin})
+	r.promises[0].since = time.Now().Add(-time.Second)
+	r.tend()
+	for _, in := range []*handIn{in, twin} {
+		if a, ok := answered(in); !ok || a.status != http.StatusServiceUnavailable || a.again <= 0 {
+			t.Errorf("while the disk tarries: %+v, %v", a, ok)
+		}
+	}
+	gate.Unlock()
+	whole(t, r)
+	r.step(nil)
+	whole(t, r)
+	r.step(nil)
+	if r.out > 0 || r.held > 0 || len(r.msgs) > 0 {
+		t.Errorf("turned away, and %d calls, %d held, %d known", r.out, r.held, len(r.msgs))
+	}
+}
+
+func TestAFailedSyncTakesNothingOn(t *testing.T) {
+	var gate sync.RWMutex
+	d := crashdisk.New()
+	r := newDurableRelay(t, d, &gate)
+	old := newHandIn("a", 7, time.Minute)
+	r.step([]any{old})
+	whole(t, r)
+	d.Fail = func(op, _ string) error {
+		if op == "sync" {
+			return errors.New("input/output error")
+		}
+		return nil
+	}
+	in := newHandIn("b", 7, time.Minute)
+	r.step([]any{in})
+	eventually(t, "the failure is known", func() bool { r.tend(); return r.worn })
+	late := newHandIn("c", 7, time.Minute)
+	r.step([]any{late})
+	if a, ok := answered(late); !ok || a.status != http.StatusServiceUnavailable {
+		t.Errorf("after a failed sync: %+v, %v", a, ok)
+	}
+	d.Fail = nil
+	eventually(t, "a new file is there", func() bool { r.tend(); return !r.worn })
+	whole(t, r)
+	again := newHandIn("d", 7, time.Minute)
+	r.step([]any{again})
+	whole(t, r)
+	if a, ok := answered(again); !ok || a.status != http.StatusAccepted {
+		t.Errorf("in the new file: %+v, %v", a, ok)
+	}
+}
+
+func TestWhatIsNotKnownIsTakenToHaveRunLongAgo(t *testing.T) {
+	r := newTestRelay(t)
+	m := &message{Message: &wal.Message{ID: 1, Dest: 7, Deadline: time.Now().Add(time.Minute), Doubt: true}}
+	if e := r.resumed(m, nil); !e.Resumed.Ran || e.Resumed.RanAgo < time.Hour {
+		t.Errorf("in doubt: %+v", e.Resumed)
+	}
+	// The clock was set back by an hour: what has been out for seconds may have been out for that long.
+	sent := time.Now().Add(time.Hour)
+	m = &message{Message: &wal.Message{ID: 2, Dest: 7, Deadline: sent.Add(5 * time.Second), MayRun: []wal.Attempt{{At: sent}}}}
+	r.resumeAt(wal.Recovery{Messages: []*wal.Message{m.Message}}, sent)
+	e := r.resumed(m, nil)
+	if e.Left > 6*time.Second || !e.Resumed.Ran || e.Resumed.RanAgo < time.Hour {
+		t.Errorf("after the clock was set back: left %v, %+v", e.Left, e.Resumed)
+	}
+}
+
+func TestMemoriesComeBackWhole(t *testing.T) {
+	var gate sync.RWMutex
+	r := newDurableRelay(t, crashdisk.New(), &gate)
+	if _, err := readMemories(r.cfg.StateDir); !errors.Is(err, errNoMemories) {
+		t.Errorf("before any: %v", err)
+	}
+	data, err := r.memoriesNow()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.writeMemories(data)
+	m, err := readMemories(r.cfg.StateDir)
+	if err != nil || len(m.Memories) != 1 || m.Memories[0].Route != "s-1" || m.Clock <= 0 {
+		t.Errorf("%+v, %v", m, err)
+	}
+	path := filepath.Join(r.cfg.StateDir, memoriesName)
+	for _, bad := range [][]byte{data[:len(data)/2], append([]byte{data[0] ^ 1}, data[1:]...), {}} {
+		if err := os.WriteFile(path, bad, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if m, err := readMemories(r.cfg.StateDir); err == nil || len(m.Memories) > 0 {
+			t.Errorf("damaged, and %+v", m)
+		}
+	}
+}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -173,6 +173,9 @@
 	r.byHand.mu.Lock() // no call is lost between the two
 	defer r.byHand.mu.Unlock()
 	err := r.wal.Flush()
+	if err == nil && !r.settle(linkFor/2) {
+		err = errors.New("the disk is behind")
+	}
 	if err == nil {
 		err = r.offer(l)
 	}
@@ -185,6 +188,9 @@
 			}
 		}
 		r.log.Warn("not handed over", "err", err)
+		if err := r.wal.Reclaim(); err != nil {
+			r.log.Error("the log is not as it was before the hand-over", "err", err)
+		}
 		return
 	}
 	r.heir, r.held = l, 0
@@ -377,7 +383,7 @@
 	}
 	var found wal.Recovery
 	if r.lock, err = wal.Lock(r.cfg.StateDir); err == nil {
-		r.wal, found, err = wal.Open(r.cfg.StateDir, int64(r.cfg.Limits.DiskMB*1e6)-stateReserve)
+		r.wal, found, err = wal.OpenWith(r.options())
 	}
 	if err == nil && l != nil && l.send(frame{Mine: true}) != nil {
 		err = errors.Join(wal.ErrHeld, r.wal.Close()) // that process waits no longer, or has ended: begin anew
@@ -393,6 +399,12 @@
 		return fmt.Errorf("relay: %w", err)
 	}
 	r.found, r.legacy = found, from
+	if found.Report != nil && !found.Report.Sound() {
+		r.log.Error("the state folder is damaged", "report", found.Report.Words())
+	}
+	if l == nil {
+		r.recollect(found)
+	}
 	r.byHand.load(from.Seen)
 	if l == nil {
 		return nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,6 +30,9 @@
 	batchMost = 512                    // events in a step
 	gaugesFor = 200 * time.Millisecond // between steps the gauges are brought up to date so often
 
+	// unknownAgo is for what happened at a time that is not known.
+	unknownAgo = 24 * time.Hour
+
 	// clockStart keeps the module's clock away from 0, which it takes for never.
 	clockStart = time.Second
 
@@ -76,6 +79,7 @@
 
 	told   bool     // its outcome is counted, or need not be
 	fresh  bool     // taken on in this step, which may yet refuse it
+	seq    uint64   // the write in the log that took it on
 	shared bool     // others were told that it is taken on, too: it cannot be withdrawn
 	next   *message // withdrawn and handed in once more: what it goes on as
 }
@@ -129,6 +133,16 @@
 	later   []policy.Event      // for the next step
 	full    bool                // the log took no new work last
 
+	promises []promise     // wait for the disk, oldest first
+	synced   chan struct{} // holds one: the disk has something more
+	worn     bool          // the disk has failed the log
+	behind   time.Duration // the wall clock, to what the log has seen; 0 unless it was set back
+	recalled memories      // of a process before, until taken up
+	putAt    time.Time
+	putting  atomic.Bool // memories are being written
+
+	putFailed atomic.Bool
+
 	stopping, noSends, idled bool
 }
 
@@ -152,6 +166,7 @@
 		byHand: newExclusions(log, cfg.StateDir), barred: map[string]bool{},
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
 		cells: map[int]bool{}, figures: newFigures(cfg.Classes), endAdmin: func() {},
+		synced: make(chan struct{}, 1),
 		flying: map[*call]struct{}{}, foreign: map[outKey]*attempt{}, memory: debug.SetMemoryLimit(-1),
 	}
 	r.hosts.sent = func(c *call) {
@@ -231,6 +246,7 @@
 	stop()
 	<-r.over
 	r.hosts.close()
+	r.putDownLast()
 	err := r.wal.Close()
 	if r.lock != nil {
 		err = errors.Join(err, r.lock.Close())
@@ -295,6 +311,10 @@
 		r.carryOut(r.sender.Step(r.now(), evs), nil)
 		r.sender.Remember(r.legacy.Memories)
 		evs = nil
+	} else if len(r.recalled.Memories) > 0 && len(r.routes) > 0 {
+		r.carryOut(r.sender.Step(r.now(), evs), nil)
+		r.recall()
+		evs = nil
 	}
 	outs := map[uint32]*policy.Out{}
 	for _, o := range r.legacy.Out {
@@ -356,6 +376,9 @@
 		e.Resumed.Ran, e.Resumed.RanZone = true, first.Zone
 		e.Resumed.RanAgo = max(0, time.Since(first.At))
 	}
+	if m.Doubt || len(ran) > 0 && r.behind > 0 {
+		e.Resumed.Ran, e.Resumed.RanAgo = true, unknownAgo // when is not known: no window holds
+	}
 	return e
 }
 
@@ -386,8 +409,15 @@
 			batch = append(batch, e)
 		case <-timer.C:
 		case <-r.byHand.changed:
+		case <-r.synced:
+			r.tend()
+			continue
 		case <-gauges.C:
 			r.publish() // a skip may have run out
+			if r.heir == nil {
+				r.tend()
+				r.putDown()
+			}
 			continue
 		}
 		if rest := r.cfg.Tick - time.Since(last); rest > 0 {
@@ -478,7 +508,7 @@
 	if !r.noSends {
 		for _, in := range waiting {
 			switch m := in.as; {
-			case m.Message != in.m: // a twin of one before it
+			case m.Message != in.m: // a twin of one before it, or of one that is not on disk yet
 			case m.Attempts > 0:
 				evs = append(evs, r.resumed(m, nil))
 			default:
@@ -492,7 +522,7 @@
 	for _, c := range asked {
 		c.reply <- !r.noSends && r.sender.MayStill(c.route, r.now(), c.ids...)
 	}
-	if r.stopping && !r.idled && (r.owesNothing() || r.noSends && r.out == 0) {
+	if r.stopping && !r.idled && len(r.promises) == 0 && (r.owesNothing() || r.noSends && r.out == 0) {
 		r.idled = true
 		close(r.idle)
 	}
@@ -524,6 +554,10 @@
 			continue
 		}
 		if old != nil && !(old.Withdrawn && (old.out == 0 || r.cfg.MayDuplicate)) {
+			if r.join(in, old) {
+				waiting = append(waiting, in)
+				continue
+			}
 			in.reply <- r.again(old)
 			continue
 		}
@@ -557,6 +591,11 @@
 		in.as.fresh = false
 	}
 	if err == nil {
+		for _, in := range waiting {
+			if in.as.Message == in.m {
+				in.as.seq = r.wal.Written()
+			}
+		}
 		r.full = false
 		return waiting
 	}
@@ -565,12 +604,16 @@
 		r.log.Warn("refusing new messages", "err", err)
 	}
 	r.full = true
+	var joined []*handIn
 	for _, in := range waiting {
 		if m := in.as; m.Message == in.m {
 			r.held--
 			r.figures.of(m.Class).deferred.Add(1)
 			delete(r.msgs, m.ID)
 			delete(r.traces, m.Trace)
+		} else if m.seq > 0 {
+			joined = append(joined, in) // of a message that is held
+			continue
 		}
 		in.reply <- answer{status: http.StatusServiceUnavailable, again: policy.RetryAdvice}
 	}
@@ -579,7 +622,7 @@
 			m.next, r.traces[m.Trace] = nil, m
 		}
 	}
-	return nil
+	return joined
 }
 
 // again is the answer to a hand-in under the id of a message that is known: the end that this one has, if any.
@@ -827,21 +870,17 @@
 			r.hosts.closeIdle(a.Route)
 		}
 	}
-	if err := r.record(calls); err != nil {
+	p := promise{waiting: waiting, answers: answers, ended: ended, calls: calls}
+	// A send that is not in the log must not leave: after a restart it would be made again.
+	switch err := r.record(calls); {
+	case errors.Is(err, wal.ErrWorn):
+		p.unwritten = true
+	case err != nil:
 		r.log.Warn("log not written", "calls", len(calls), "err", err)
-		// A send that is not in the log must not leave: after a restart it would be made again.
-		r.giveBack(calls)
-		calls = nil
-	}
-	for _, in := range waiting {
-		in.reply <- answers[in.as.ID]
-	}
-	for _, m := range ended {
-		r.notify(m)
-	}
-	for _, c := range calls {
-		r.launch(c)
+		r.giveBack(calls, policy.ConnectFailed)
+		p.calls = nil
 	}
+	r.promise(p)
 }
 
 // addSend puts a send into a call: those of one step to one route travel as one, up to what its kind allows.
@@ -890,15 +929,14 @@
 	return r.wal.Sent(sends...)
 }
 
-// giveBack ends calls that could not be recorded as never connected.
-func (r *Relay) giveBack(calls []*call) {
+// giveBack ends calls that are not made with an outcome which proves so.
+func (r *Relay) giveBack(calls []*call, as policy.Outcome) {
 	for _, c := range calls {
 		for _, a := range c.attempts {
-			r.later = r.attemptEnded(r.later, a, result{outcome: policy.ConnectFailed})
+			r.later = r.attemptEnded(r.later, a, result{outcome: as})
 		}
 	}
-	// The module is told in a step of its own, soon, and not by its own wake, which must not be lost.
-	time.AfterFunc(r.cfg.Tick, func() { r.post(nudge{}) })
+	r.soon()
 }
 
 // launch makes a call, away from the loop.
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,136 @@
+// Package settings reads the project's own settings file: one TOML file, read strictly, that turns on what is off without
+// it. The platform's own configuration stays where it is; see package relay.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Env names the variable that names the file where no argument does.
+const Env = "IVYGAUGE_CONFIG"
+
+// Settings is the file. Its zero value has every part off.
+type Settings struct {
+	LogFormat string     `toml:"log_format"` // "text" (default) or "json"
+	LogLevel  slog.Level `toml:"log_level"`  // "info" (default), "debug", "warn" or "error"
+	State     *State     `toml:"state"`      // none: the state folder is kept in one file, as ever
+}
+
+// State is how the state folder is kept.
+type State struct {
+	// Durability is "process" (default): what was taken on survives the process; or "power": the machine's power too.
+	Durability string `toml:"durability"`
+	// Memories has what is known of partners put down, so that a restart knows it. On by default.
+	Memories *bool `toml:"memories"`
+	// MemoriesEvery is the time from one putting down to the next, 100 ms to 1 min; 1 s by default.
+	MemoriesEvery Duration `toml:"memories_every"`
+}
+
+// Power tells whether messages outlast a loss of power.
+func (s *State) Power() bool { return s.Durability == "power" }
+
+// Remembers tells whether what is known of partners is put down.
+func (s *State) Remembers() bool { return s.Memories == nil || *s.Memories }
+
+// Duration is a time written as in Go, "250ms" say.
+type Duration time.Duration
+
+// UnmarshalText reads one.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	if err != nil {
+		return fmt.Errorf("not a duration such as \"250ms\": %q", text)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Load reads the file at path, or the one that the environment names; without either every part is off.
+func Load(path string) (Settings, error) {
+	if path == "" {
+		if path = os.Getenv(Env); path == "" {
+			return Settings{}, nil
+		}
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse reads the text of the file at path.
+func Parse(path string, data []byte) (s Settings, err error) {
+	d := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return Settings{}, fmt.Errorf("%s%w", path, located(err))
+	}
+	if err := s.check(); err != nil {
+		return Settings{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// located puts line and key before what the library says of an error.
+func located(err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		e := strict.Errors[0]
+		line, _ := e.Position()
+		return fmt.Errorf(":%d: unknown key %s", line, strings.Join(e.Key(), "."))
+	}
+	var dec *toml.DecodeError
+	if errors.As(err, &dec) {
+		line, _ := dec.Position()
+		return fmt.Errorf(":%d: %s: %w", line, strings.Join(dec.Key(), "."), err)
+	}
+	return fmt.Errorf(": %w", err)
+}
+
+// check tells what makes no sense, and fills in what is left out.
+func (s *Settings) check() error {
+	var errs []error
+	switch s.LogFormat {
+	case "", "text", "json":
+	default:
+		errs = append(errs, fmt.Errorf("log_format: %q is not text or json", s.LogFormat))
+	}
+	if st := s.State; st != nil {
+		switch st.Durability {
+		case "":
+			st.Durability = "process"
+		case "process", "power":
+		default:
+			errs = append(errs, fmt.Errorf("state.durability: %q is not process or power", st.Durability))
+		}
+		if st.MemoriesEvery == 0 {
+			st.MemoriesEvery = Duration(time.Second)
+		} else if !st.Remembers() {
+			errs = append(errs, errors.New("state.memories_every: without memories nothing is put down"))
+		}
+		if every := time.Duration(st.MemoriesEvery); every < 100*time.Millisecond || every > time.Minute {
+			errs = append(errs, fmt.Errorf("state.memories_every: %v is not between 100ms and 1m", every))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Logger is the logger that the settings ask for.
+func (s *Settings) Logger() *slog.Logger {
+	o := &slog.HandlerOptions{Level: s.LogLevel}
+	switch {
+	case s.LogFormat == "json":
+		return slog.New(slog.NewJSONHandler(os.Stderr, o))
+	case s.LogFormat == "text" || s.LogLevel != slog.LevelInfo:
+		return slog.New(slog.NewTextHandler(os.Stderr, o))
+	}
+	return slog.Default()
+}
--- /dev/null
+++ b/internal/wal/frame.go
@@ -0,0 +1,114 @@
+package wal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+	"math/bits"
+)
+
+// A file of segments or of a snapshot is a row of frames: the payload's length, how much of the file was known to be on
+// disk when the frame was written, a checksum, the payload. The checksum covers the file's generation and the frame's place
+// in it too, so that neither a stale sector nor one at a wrong place passes for a record, whatever length it claims.
+
+const frameBytes = 12
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// frame is one that was read.
+type frame struct {
+	payload  []byte
+	durable  int64 // bytes of the file that were on disk before it was written
+	size     int   // its own, in bytes
+	repaired bool  // a single bit of it had flipped
+}
+
+// appendFrame appends a frame that will stand at offset at of the file with this salt.
+func appendFrame(buf []byte, salt uint64, at, durable int64, payload []byte) []byte {
+	var head [frameBytes]byte
+	binary.LittleEndian.PutUint32(head[:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(head[4:], uint32(durable))
+	binary.LittleEndian.PutUint32(head[8:], checksum(salt, at, head[:8], payload))
+	return append(append(buf, head[:]...), payload...)
+}
+
+func checksum(salt uint64, at int64, head, payload []byte) uint32 {
+	var place [16]byte
+	binary.LittleEndian.PutUint64(place[:], salt)
+	binary.LittleEndian.PutUint64(place[8:], uint64(at))
+	sum := crc32.Update(0, castagnoli, place[:])
+	return crc32.Update(crc32.Update(sum, castagnoli, head), castagnoli, payload)
+}
+
+// readFrame reads the frame at the start of rest, which is at offset at of its file; ok is false if there is no whole one.
+func readFrame(rest []byte, salt uint64, at int64) (f frame, ok bool) {
+	if len(rest) < frameBytes {
+		return f, false
+	}
+	n := binary.LittleEndian.Uint32(rest)
+	durable := int64(binary.LittleEndian.Uint32(rest[4:]))
+	if n == 0 || n > mostBytes || int(n) > len(rest)-frameBytes || durable > at {
+		return f, false
+	}
+	payload := rest[frameBytes : frameBytes+n]
+	if checksum(salt, at, rest[:8], payload) != binary.LittleEndian.Uint32(rest[8:]) {
+		return f, false
+	}
+	return frame{payload: payload, durable: durable, size: frameBytes + int(n)}, true
+}
+
+// mendFrame reads the frame at the start of rest where a single bit of it has flipped. A frame that is torn does not look so: the
+// chance that what is left of one is one bit from a checksum that fits is about its bits in 2^32.
+func mendFrame(rest []byte, salt uint64, at int64) (f frame, ok bool) {
+	if len(rest) < frameBytes {
+		return f, false
+	}
+	try := func(n uint32, off int, mask byte) bool {
+		flipped := bytes.Clone(rest[:frameBytes+n])
+		flipped[off] ^= mask
+		f, ok = readFrame(flipped, salt, at)
+		f.repaired = ok
+		return ok
+	}
+	for off := range 4 { // the length: all else depends on it
+		for bit := range 8 {
+			n := binary.LittleEndian.Uint32(rest) ^ 1<<(8*off+bit)
+			if n == 0 || n > mostBytes || int(n) > len(rest)-frameBytes {
+				continue
+			}
+			if try(n, off, 1<<bit) {
+				return f, true
+			}
+		}
+	}
+	n := binary.LittleEndian.Uint32(rest)
+	if n == 0 || n > mostBytes || int(n) > len(rest)-frameBytes {
+		return f, false
+	}
+	payload := rest[frameBytes : frameBytes+n]
+	wrong := checksum(salt, at, rest[:8], payload) ^ binary.LittleEndian.Uint32(rest[8:])
+	if bits.OnesCount32(wrong) == 1 {
+		bit := bits.TrailingZeros32(wrong)
+		try(n, 8+bit/8, 1<<(bit%8))
+		return f, ok
+	}
+	// A flipped bit changes the checksum by what depends on its distance from the end alone.
+	var change [8]uint32
+	for bit := range change {
+		change[bit] = castagnoli[1<<bit]
+	}
+	for k := int(n) - 1; k >= -4; k-- { // the payload, and before it what is known to be on disk
+		for bit := range change {
+			if change[bit] == wrong {
+				off := frameBytes + k
+				if k < 0 {
+					off = 8 + k
+				}
+				try(n, off, 1<<bit)
+				return f, ok
+			}
+			change[bit] = castagnoli[change[bit]&0xff] ^ change[bit]>>8
+		}
+	}
+	return f, false
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -1,20 +1,23 @@
 // Package wal is the relay's write-ahead log: what it has taken on, what it has sent, and what has ended, in
-// one file of the folder that outlasts the process. What was written survives SIGKILL without a sync; only
-// the machine's loss loses it, and then others take the work over. Times in it are wall time, since no
-// process's own clock means anything to the next.
+// the folder that outlasts the process. Times in it are wall time, since no process's own clock means anything to the next.
+//
+// It is kept in one of two ways. By default in one file: what was written survives SIGKILL without a sync, and only the
+// machine's loss loses it. With Options.Format 2 in segments, each with a snapshot before it, whose every byte is checked
+// when it is read; and with Options.Power so that what the log has told to be durable survives a loss of power too.
+//
+// Either way reads what the other has left, and a crash on the way from one to the other loses nothing.
 package wal
 
 import (
-	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"os"
 	"path/filepath"
 	"slices"
 	"syscall"
 	"time"
+
+	"onyxroad.dev/onyxroad/internal/disk"
 )
 
 // ErrFull tells that the log has no room for new work. Ends and outcomes still find room.
@@ -42,6 +45,9 @@
 	// Withdrawn tells that nothing is owed, since its client left without an answer. It may have run, and should it
 	// be handed in once more, that must be known.
 	Withdrawn bool `json:",omitempty"`
+
+	// Doubt tells that a part of the log could not be read in which sends of it may have stood.
+	Doubt bool `json:",omitempty"`
 }
 
 // Attempt is one send.
@@ -69,6 +75,23 @@
 	Messages []*Message // unfinished, in the order in which they were taken on
 	// Damaged tells that records before the last were unreadable: a message's sends may be missing from it.
 	Damaged bool
+	// Report is what reading a folder for segments found; nil without them.
+	Report *Report
+}
+
+// Latest is the newest time that stands in what was found; the zero time if there is none.
+func (r *Recovery) Latest() (latest time.Time) {
+	if r.Report != nil {
+		latest = r.Report.Began
+	}
+	for _, m := range r.Messages {
+		for _, a := range m.MayRun {
+			if a.At.After(latest) {
+				latest = a.At
+			}
+		}
+	}
+	return latest
 }
 
 // The kinds of record.
@@ -79,6 +102,9 @@
 	recFinal
 	recEnd
 	recWithdrawn
+	recHead // of a file of a folder in segments
+	recFoot // of a snapshot: so many messages
+	recSeal // the segment ends here
 )
 
 const (
@@ -86,9 +112,6 @@
 	tempName = "wal.tmp"
 	lockName = "wal.lock"
 
-	magic     = 0xC7A1
-	headBytes = 10 // magic, length, checksum
-	block     = 512
 	mostBytes = 1 << 20 // of a record: a message's is far smaller
 
 	// Shares of the disk limit. While the log is compacted the old and the new file stand side by side, and
@@ -105,23 +128,65 @@
 	Attempt *Attempt `json:",omitempty"`
 	N       int      `json:",omitempty"`
 	Final   *Final   `json:",omitempty"`
+	Head    *head    `json:",omitempty"`
+}
+
+// Options is how a log is kept. Only Dir and Limit are needed.
+type Options struct {
+	Dir   string
+	Limit int64   // bytes on disk
+	FS    disk.FS // the folder's files; none: the operating system's
+	Name  string  // the relay's; a folder in segments of another one is refused. Empty: any
+	Adopt bool    // unless this is set
+	// Format is 1, one file, or 2, segments; none: 1.
+	Format int
+	// Power has writes synced, and Durable tell how far. It needs segments.
+	Power bool
+	// Told is called, from any goroutine, whenever Durable has grown or a sync has failed.
+	Told func()
 }
 
 // Log is an open log. It is not safe for concurrent use.
 type Log struct {
-	dir   string
-	limit int64 // bytes on disk
-	file  *os.File
-	size  int64 // of the file, all of it good
-	live  map[uint32]*Message
-	bytes int64  // that the live messages would take in a new file, about
-	notes []byte // outcomes and ends not yet written
+	Options
+	state
+	keep  keeper
+	notes [][]byte // payloads of outcomes and ends not yet written
+}
+
+// keeper is how a log is kept.
+type keeper interface {
+	// size is what it takes on disk, in bytes.
+	size() int64
+	// framed is what payloads would add to it.
+	framed(payloads [][]byte) int64
+	// forStart is the room that is kept from what is appended where live messages take so many bytes: the next start needs it.
+	forStart(live int64) int64
+	// append appends payloads in one write, all or none.
+	append(payloads [][]byte) error
+	// compact puts the live messages in the place of all that was appended.
+	compact(live [][]byte) error
+	// marks tell the number of the last write, and of the last that is durable.
+	marks() (written, durable uint64)
+	// worn tells that nothing can be appended until tend has had a new file begun.
+	worn() bool
+	tend(live func() [][]byte) bool
+	failure() error
+	reclaim(names []string, l *Log) error
+	// fit tells, before new work is taken on, that outcomes and ends of what is held will find room.
+	fit() error
+	close() error
 }
 
 // Lock takes the lock on the log in dir, which goes with the file returned, or with the process. Guards against two
 // writers: whoever opens the log holds it. ErrHeld tells that another does.
-func Lock(dir string) (*os.File, error) {
-	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+func Lock(dir string) (*os.File, error) { return lock(dir, os.O_CREATE) }
+
+// LockExisting is Lock for whoever must change nothing: the error is fs.ErrNotExist where no log has ever been.
+func LockExisting(dir string) (*os.File, error) { return lock(dir, 0) }
+
+func lock(dir string, flag int) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|flag, 0o600)
 	if err != nil {
 		return nil, fmt.Errorf("wal: %w", err)
 	}
@@ -135,45 +200,91 @@
 	return f, nil
 }
 
-// Open reads the log in dir, or begins one, that may take limit bytes of disk.
+// Open reads the log in dir, or begins one, that may take limit bytes of disk, in one file.
 func Open(dir string, limit int64) (*Log, Recovery, error) {
-	l := &Log{dir: dir, limit: limit, live: map[uint32]*Message{}}
-	// A crash in mid-compaction leaves the old file whole and a part of the new one.
-	if err := os.Remove(filepath.Join(dir, tempName)); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, Recovery{}, fmt.Errorf("wal: %w", err)
-	}
-	path := filepath.Join(dir, name)
-	data, err := os.ReadFile(path)
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, Recovery{}, fmt.Errorf("wal: %w", err)
+	return OpenWith(Options{Dir: dir, Limit: limit})
+}
+
+// OpenWith reads the log of a folder, or begins one. The caller has its lock.
+func OpenWith(o Options) (*Log, Recovery, error) {
+	if o.FS == nil {
+		o.FS = disk.Dir(o.Dir)
 	}
-	good, damaged := l.replay(data)
-	l.file, err = os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	l := &Log{Options: o, state: state{live: map[uint32]*Message{}}}
+	names, err := o.FS.Names()
 	if err != nil {
 		return nil, Recovery{}, fmt.Errorf("wal: %w", err)
 	}
-	// What follows a torn record could not be told from it: the tail goes before anything is appended.
-	if err := l.file.Truncate(good); err != nil {
-		l.file.Close()
-		return nil, Recovery{}, fmt.Errorf("wal: drop a torn tail: %w", err)
+	switch guarded := inSegments(names); {
+	case o.Format == Format:
+		found, err := l.openSegments(names, guarded)
+		return l, found, err
+	case guarded:
+		if err := l.leaveSegments(names); err != nil {
+			return nil, Recovery{}, err
+		}
 	}
-	l.size = good
-	return l, Recovery{Messages: l.messages(), Damaged: damaged}, nil
+	found, err := l.openSingle()
+	return l, found, err
+}
+
+// Close writes what is noted and closes the files.
+func (l *Log) Close() error { return errors.Join(l.Flush(), l.keep.close()) }
+
+// Written is the number of the last write.
+func (l *Log) Written() uint64 {
+	n, _ := l.keep.marks()
+	return n
+}
+
+// Durable is the number of the last write that is as durable as the log is to be. Without Power every one is.
+func (l *Log) Durable() uint64 {
+	_, n := l.keep.marks()
+	return n
 }
 
-// Close writes what is noted and closes the file.
-func (l *Log) Close() error { return errors.Join(l.Flush(), l.file.Close()) }
+// Tend goes on after the disk has failed the log, once it can: a new file is begun with all that is live, and nothing more
+// is trusted to the one before. False tells that the log still waits for that.
+func (l *Log) Tend() bool {
+	if !l.keep.worn() {
+		return true
+	}
+	ok := l.keep.tend(func() [][]byte {
+		l.notes = nil // they are in the state
+		return l.snapshot()
+	})
+	return ok && l.Flush() == nil
+}
+
+// Failure is why the log waits for a new file; nil if it does not.
+func (l *Log) Failure() error { return l.keep.failure() }
+
+// Reclaim puts the live messages down anew after another process may have opened the log, and not gone on with it.
+func (l *Log) Reclaim() error {
+	names, err := l.FS.Names()
+	if err == nil {
+		err = l.keep.reclaim(names, l)
+	}
+	if err != nil {
+		return fmt.Errorf("wal: reclaim: %w", err)
+	}
+	l.notes = nil // they are in the state
+	return nil
+}
 
 // Owes tells whether m has no end yet.
 func (l *Log) Owes(m *Message) bool { return l.live[m.ID] != nil }
 
 // Accept records that ms are taken on, all or none. With ErrFull nothing of them is in the log.
 func (l *Log) Accept(ms ...*Message) error {
-	var buf []byte
+	if err := l.keep.fit(); err != nil {
+		return err
+	}
+	var buf [][]byte
 	for _, m := range ms {
-		buf = appendRecord(buf, record{Kind: recAccept, ID: m.ID, Message: m}, m.Body)
+		buf = append(buf, payload(record{Kind: recAccept, ID: m.ID, Message: m}, m.Body))
 	}
-	if l.bytes+int64(len(buf)) > l.share(liveShare) {
+	if l.bytes+l.keep.framed(buf) > l.share(liveShare) {
 		return ErrFull
 	}
 	if err := l.write(buf); err != nil {
@@ -188,9 +299,9 @@
 
 // Sent records attempts before their first byte, all or none.
 func (l *Log) Sent(sends ...Send) error {
-	var buf []byte
+	var buf [][]byte
 	for _, s := range sends {
-		buf = appendRecord(buf, record{Kind: recSend, ID: s.Message.ID, Attempt: &s.Attempt}, nil)
+		buf = append(buf, payload(record{Kind: recSend, ID: s.Message.ID, Attempt: &s.Attempt}, nil))
 	}
 	if err := l.write(buf); err != nil {
 		return err
@@ -212,7 +323,7 @@
 	l.bytes -= cost(m)
 	m.neverRan(n)
 	l.bytes += cost(m)
-	l.notes = appendRecord(l.notes, record{Kind: recOutcome, ID: m.ID, N: n}, nil)
+	l.notes = append(l.notes, payload(record{Kind: recOutcome, ID: m.ID, N: n}, nil))
 }
 
 // Decide notes the notice that will end m.
@@ -221,7 +332,7 @@
 		return
 	}
 	m.Final = &f
-	l.notes = appendRecord(l.notes, record{Kind: recFinal, ID: m.ID, Final: &f}, nil)
+	l.notes = append(l.notes, payload(record{Kind: recFinal, ID: m.ID, Final: &f}, nil))
 }
 
 // Withdraw notes that nothing is owed for m but to remember what may have run, until End.
@@ -230,7 +341,7 @@
 		return
 	}
 	m.Withdrawn = true
-	l.notes = appendRecord(l.notes, record{Kind: recWithdrawn, ID: m.ID}, nil)
+	l.notes = append(l.notes, payload(record{Kind: recWithdrawn, ID: m.ID}, nil))
 }
 
 // End notes that nothing more is owed for m.
@@ -240,7 +351,7 @@
 	}
 	delete(l.live, m.ID)
 	l.bytes -= cost(m)
-	l.notes = appendRecord(l.notes, record{Kind: recEnd, ID: m.ID}, nil)
+	l.notes = append(l.notes, payload(record{Kind: recEnd, ID: m.ID}, nil))
 }
 
 // Flush writes what is noted. After an error the notes are kept for the next write.
@@ -252,64 +363,60 @@
 }
 
 // write appends the notes and buf in one write. Only buf is given up on an error.
-func (l *Log) write(buf []byte) error {
-	all := append(l.notes, buf...)
-	if l.size+int64(len(all)) > l.share(compactShare) {
+func (l *Log) write(buf [][]byte) error {
+	if l.keep.worn() {
+		if len(l.notes)+len(buf) == 0 {
+			return nil
+		}
+		return ErrWorn
+	}
+	all := slices.Concat(l.notes, buf)
+	if l.keep.size()+l.keep.framed(all) > l.share(compactShare) {
 		// The notes are in the state that a compaction writes, so they need no records of their own. Where it
 		// fails, the room beyond the share is left.
 		if err := l.compact(); err == nil {
-			all = append(all[:0], buf...)
+			all = buf
 		}
 	}
 	if len(all) == 0 {
 		return nil
 	}
-	if l.size+int64(len(all)) > l.limit-2*block {
+	if l.keep.size()+l.keep.framed(all)+l.keep.forStart(l.bytes) > l.Limit-2*disk.Sector {
 		return ErrFull
 	}
-	if _, err := l.file.WriteAt(all, l.size); err != nil {
-		// A part may have been written: it must not stand before later records.
-		return errors.Join(fmt.Errorf("wal: %w", err), l.file.Truncate(l.size))
+	if err := l.keep.append(all); err != nil {
+		return err
 	}
-	l.size += int64(len(all))
 	l.notes = l.notes[:0]
 	return nil
 }
 
-// compact puts a file of the live messages alone in the place of the log.
+// compact puts the live messages alone in the place of the log.
 func (l *Log) compact() error {
-	var buf []byte
-	for _, m := range l.messages() {
-		buf = appendRecord(buf, record{Kind: recAccept, ID: m.ID, Message: m}, m.Body)
-	}
-	if l.size+int64(len(buf))+4*block > l.limit {
-		return ErrFull
-	}
-	temp := filepath.Join(l.dir, tempName)
-	f, err := os.OpenFile(temp, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
-	if err != nil {
-		return fmt.Errorf("wal: compact: %w", err)
-	}
-	if _, err = f.Write(buf); err == nil {
-		err = os.Rename(temp, filepath.Join(l.dir, name)) // a crash leaves the one or the other, whole
-	}
-	if err != nil {
-		return errors.Join(fmt.Errorf("wal: compact: %w", err), f.Close(), os.Remove(temp))
+	if err := l.keep.compact(l.snapshot()); err != nil {
+		return err
 	}
-	l.file.Close()
-	l.file, l.size, l.notes, l.bytes = f, int64(len(buf)), l.notes[:0], 0
+	l.notes, l.bytes = l.notes[:0], 0
 	for _, m := range l.live {
 		l.bytes += cost(m)
 	}
 	return nil
 }
 
-func (l *Log) share(x float64) int64 { return int64(x * float64(l.limit)) }
+// snapshot is the live messages as records.
+func (l *Log) snapshot() (all [][]byte) {
+	for _, m := range l.messages() {
+		all = append(all, payload(record{Kind: recAccept, ID: m.ID, Message: m}, m.Body))
+	}
+	return all
+}
+
+func (l *Log) share(x float64) int64 { return int64(x * float64(l.Limit)) }
 
 // messages are the live ones in the order in which they were taken on.
-func (l *Log) messages() []*Message {
-	ms := make([]*Message, 0, len(l.live))
-	for _, m := range l.live {
+func (s *state) messages() []*Message {
+	ms := make([]*Message, 0, len(s.live))
+	for _, m := range s.live {
 		ms = append(ms, m)
 	}
 	slices.SortFunc(ms, func(a, b *Message) int { return int(int64(a.ID) - int64(b.ID)) })
@@ -334,38 +441,20 @@
 	m.MayRun = slices.DeleteFunc(m.MayRun, func(a Attempt) bool { return a.N == n })
 }
 
-// replay applies the records in data. It passes over what it cannot read and returns the end of the last good
-// record, and whether unreadable bytes stood before it.
-func (l *Log) replay(data []byte) (good int64, damaged bool) {
-	for at := 0; at < len(data); {
-		rec, body, n := readRecord(data[at:])
-		if n == 0 {
-			at++ // look for the next record: a damaged one must not hide those behind it
-			continue
-		}
-		if int64(at) != good {
-			damaged = true
-		}
-		at += n
-		good = int64(at)
-		l.apply(rec, body)
-	}
-	return good, damaged
-}
-
-func (l *Log) apply(rec record, body []byte) {
-	m := l.live[rec.ID]
+// apply takes a record that was read.
+func (s *state) apply(rec record, body []byte) {
+	m := s.live[rec.ID]
 	switch {
 	case rec.Kind == recAccept && rec.Message != nil:
 		m = rec.Message
 		m.ID, m.Body = rec.ID, slices.Clone(body)
-		l.live[m.ID] = m
-		l.bytes += cost(m)
+		s.live[m.ID] = m
+		s.bytes += cost(m)
 		return
 	case m == nil:
 		return // its first record is unreadable
 	}
-	l.bytes -= cost(m)
+	s.bytes -= cost(m)
 	switch {
 	case rec.Kind == recSend && rec.Attempt != nil:
 		m.sent(*rec.Attempt)
@@ -376,51 +465,8 @@
 	case rec.Kind == recWithdrawn:
 		m.Withdrawn = true
 	case rec.Kind == recEnd:
-		delete(l.live, m.ID)
+		delete(s.live, m.ID)
 		return
 	}
-	l.bytes += cost(m)
-}
-
-// appendRecord appends a record: magic, length, checksum, then the length of the readable part, that, and the
-// body.
-func appendRecord(buf []byte, rec record, body []byte) []byte {
-	text, err := json.Marshal(rec)
-	if err != nil {
-		panic(err) // plain fields only: cannot fail
-	}
-	start := len(buf)
-	buf = append(buf, make([]byte, headBytes)...)
-	buf = binary.AppendUvarint(buf, uint64(len(text)))
-	buf = append(buf, text...)
-	buf = append(buf, body...)
-	payload := buf[start+headBytes:]
-	binary.LittleEndian.PutUint16(buf[start:], magic)
-	binary.LittleEndian.PutUint32(buf[start+2:], uint32(len(payload)))
-	binary.LittleEndian.PutUint32(buf[start+6:], crc32.ChecksumIEEE(payload))
-	return buf
-}
-
-// readRecord reads the record at the start of data; n is 0 if there is no whole one.
-func readRecord(data []byte) (rec record, body []byte, n int) {
-	if len(data) < headBytes || binary.LittleEndian.Uint16(data) != magic {
-		return rec, nil, 0
-	}
-	size := int64(binary.LittleEndian.Uint32(data[2:]))
-	if size > mostBytes || size > int64(len(data)-headBytes) {
-		return rec, nil, 0
-	}
-	payload := data[headBytes : headBytes+size]
-	if crc32.ChecksumIEEE(payload) != binary.LittleEndian.Uint32(data[6:]) {
-		return rec, nil, 0
-	}
-	text, k := binary.Uvarint(payload)
-	if k <= 0 || text > uint64(len(payload)-k) {
-		return rec, nil, 0
-	}
-	payload = payload[k:]
-	if json.Unmarshal(payload[:text], &rec) != nil {
-		return rec, nil, 0
-	}
-	return rec, payload[text:], headBytes + int(size)
+	s.bytes += cost(m)
 }
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -9,6 +9,8 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"onyxroad.dev/onyxroad/internal/disk"
 )
 
 const roomy = 3_000_000
@@ -21,7 +23,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { l.file.Close() })
+	t.Cleanup(func() { l.keep.close() })
 	return l, found
 }
 
@@ -48,7 +50,7 @@
 	return text
 }
 
-// onDisk is what the folder takes, each file in whole blocks.
+// onDisk is what the folder takes, each file in whole disk.Sectors.
 func onDisk(t *testing.T, dir string) int64 {
 	t.Helper()
 	entries, err := os.ReadDir(dir)
@@ -57,7 +59,7 @@
 	for _, e := range entries {
 		info, err := e.Info()
 		must(t, err)
-		sum += (info.Size() + block - 1) / block * block
+		sum += (info.Size() + disk.Sector - 1) / disk.Sector * disk.Sector
 	}
 	return sum
 }
@@ -100,7 +102,7 @@
 	whole := t.TempDir()
 	l, _ := open(t, whole, roomy)
 	must(t, l.Accept(message(1)))
-	keep := l.size
+	keep := l.keep.size()
 	must(t, l.Accept(message(2)))
 	data, err := os.ReadFile(filepath.Join(whole, name))
 	must(t, err)
@@ -122,9 +124,9 @@
 	dir := t.TempDir()
 	l, _ := open(t, dir, roomy)
 	must(t, l.Accept(message(1)))
-	first := l.size
+	first := l.keep.size()
 	must(t, l.Accept(message(2)))
-	second := l.size
+	second := l.keep.size()
 	must(t, l.Accept(message(3)))
 	data, err := os.ReadFile(filepath.Join(dir, name))
 	must(t, err)
@@ -162,7 +164,7 @@
 		if _, found := open(t, dir, roomy); len(found.Messages) != before+1 {
 			t.Fatalf("%d messages found, then %d with one more", before, len(found.Messages))
 		}
-		l.file.Close()
+		l.keep.close()
 	}
 }
 
@@ -175,7 +177,7 @@
 	var held []*Message
 	for i := range uint32(4000) {
 		m := message(i)
-		before := l.size
+		before := l.keep.size()
 		must(t, l.Accept(m))
 		must(t, l.Sent(Send{m, Attempt{Host: "s-5be2a07c", At: noon}}))
 		if held = append(held, m); len(held) > 20 {
@@ -183,10 +185,10 @@
 			held = held[1:]
 			must(t, l.Flush())
 		}
-		if l.size < before {
+		if l.keep.size() < before {
 			compactions++
 			// before is what the old file held when the new one stood beside it.
-			if sum := before + l.size + 4*block; sum > limit {
+			if sum := before + l.keep.size() + 4*disk.Sector; sum > limit {
 				t.Fatalf("%d bytes on disk during a compaction", sum)
 			}
 		}
@@ -252,16 +254,21 @@
 	}
 }
 
+// badFile takes no writes.
+type badFile struct{ *os.File }
+
+func (badFile) Reserve(int64, int64) error { return nil }
+
 func TestAFailedWriteLeavesNoTrace(t *testing.T) {
 	dir := t.TempDir()
 	l, _ := open(t, dir, roomy)
 	one, two := message(1), message(2)
 	must(t, l.Accept(one, two))
-	good := l.file
+	good := l.keep.(*single).file
 	bad, err := os.Open(filepath.Join(dir, name)) // takes no writes, as a full disk
 	must(t, err)
 	defer bad.Close()
-	l.file = bad
+	l.keep.(*single).file = badFile{bad}
 	if err := l.Accept(message(3)); err == nil {
 		t.Error("taken on without a record")
 	}
@@ -272,7 +279,7 @@
 	if err := l.Flush(); err == nil {
 		t.Error("an end counts as written")
 	}
-	l.file = good
+	l.keep.(*single).file = good
 	must(t, l.Flush()) // the end was kept
 	must(t, l.Accept(message(4)))
 	if _, found := open(t, dir, roomy); ids(found) != "1 4 " {
@@ -288,25 +295,25 @@
 	for n := range 4 {
 		m.MayRun = append(m.MayRun, Attempt{N: n, Host: "s-5be2a07c", Zone: 1, At: noon.Add(time.Nanosecond)})
 	}
-	if got := len(appendRecord(nil, record{Kind: recAccept, ID: 1, Message: m}, m.Body)); int64(got) > cost(m) {
+	if got := len(appendRecord(nil, payload(record{Kind: recAccept, ID: 1, Message: m}, m.Body))); int64(got) > cost(m) {
 		t.Errorf("a record of %d bytes counts as %d", got, cost(m))
 	}
 }
 
 // Whatever stands in the file, it is read to an end, and a record behind it is found.
 func FuzzReplay(f *testing.F) {
-	whole := appendRecord(nil, record{Kind: recAccept, ID: 1, Message: message(1)}, []byte("body"))
-	whole = appendRecord(whole, record{Kind: recSend, ID: 1, Attempt: &Attempt{Host: "s-1"}}, nil)
-	f.Add(appendRecord(whole, record{Kind: recWithdrawn, ID: 1}, nil))
+	whole := appendRecord(nil, payload(record{Kind: recAccept, ID: 1, Message: message(1)}, []byte("body")))
+	whole = appendRecord(whole, payload(record{Kind: recSend, ID: 1, Attempt: &Attempt{Host: "s-1"}}, nil))
+	f.Add(appendRecord(whole, payload(record{Kind: recWithdrawn, ID: 1}, nil)))
 	f.Add(whole[:len(whole)-3])
-	last := appendRecord(nil, record{Kind: recAccept, ID: 1 << 30, Message: message(1 << 30)}, nil)
+	last := appendRecord(nil, payload(record{Kind: recAccept, ID: 1 << 30, Message: message(1 << 30)}, nil))
 	f.Fuzz(func(t *testing.T, data []byte) {
-		l := &Log{live: map[uint32]*Message{}}
+		l := &state{live: map[uint32]*Message{}}
 		good, _ := l.replay(data)
 		if good > int64(len(data)) {
 			t.Fatalf("%d good bytes of %d", good, len(data))
 		}
-		again := &Log{live: map[uint32]*Message{}}
+		again := &state{live: map[uint32]*Message{}}
 		end, damaged := again.replay(append(data[:good:good], last...))
 		if end != good+int64(len(last)) || again.live[1<<30] == nil || damaged && len(l.live) == 0 && good == 0 {
 			t.Errorf("%d good bytes, then %d, damaged %v", good, end, damaged)
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // What one process tells the next when it hands its work over. Both go by one clock, so that times need no change.
 
@@ -70,6 +74,30 @@
 	}
 }
 
+// Recall takes on what a Sender knew that ended with its process, age ago, when its clock stood at then. A restart ends a
+// told wait, and what is older than the longest skip is not known any more; what is younger fades by the rules by which it
+// would have faded there. It comes before any message.
+func (s *Sender) Recall(ms []Memory, then, age time.Duration) {
+	if age < 0 || age > skipMost {
+		return
+	}
+	shift := s.now - age - then
+	for i := range ms {
+		m := &ms[i]
+		m.Wait, m.Sent = 0, slices.Clone(m.Sent)
+		for k := range m.Sent {
+			m.Sent[k] += shift
+		}
+		for _, t := range []*time.Duration{&m.HalvedAt, &m.CreptAt, &m.TokensAt, &m.ColdAt, &m.ColdLeft, &m.GotAt, &m.SkipUntil,
+			&m.Back, &m.RefusedAt, &m.OKAt, &m.OKSent} {
+			if *t > math.MinInt64/4 && *t != 0 { // 0 is never, and the least there is long ago
+				*t += shift
+			}
+		}
+	}
+	s.Remember(ms)
+}
+
 // adopt books an attempt that is out at the process before: it has a slot, and its outcome is still to come.
 func (s *Sender) adopt(m *message, o *Out) {
 	c := s.adopted[o.Call]
--- a/policy/handover_test.go
+++ b/policy/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -116,3 +117,47 @@
 		}
 	}
 }
+
+// What was known fades while no process is there, a told wait ends, and what is old is not known any more.
+func TestARestartRecallsWhatIsYoung(t *testing.T) {
+	set := resumeSettings()
+	s, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	taken := func(id uint32) Event { return Event{Kind: Taken, ID: id, Destination: 5, Left: 8 * time.Second} }
+	s.Step(time.Minute, []Event{twoZones(), taken(1)})
+	s.Step(time.Minute+100*time.Millisecond, []Event{{
+		Kind: Finished, ID: 1, Route: "best", Outcome: Full, Wait: 5 * time.Second, Report: Report{Told: true, Limit: 40},
+	}})
+	before := s.Memories()
+	recall := func(age time.Duration) *Sender {
+		next, err := New(set, 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		next.Step(time.Second, []Event{twoZones()})
+		next.Recall(slices.Clone(before), time.Minute+200*time.Millisecond, age)
+		return next
+	}
+	young := recall(time.Second)
+	if !young.MayStill("best", time.Second) {
+		t.Error("the told wait outlasts the restart")
+	}
+	for i, m := range young.Memories() {
+		if m.Pace != before[i].Pace || m.Limit != before[i].Limit {
+			t.Errorf("%s: pace %v under limit %v became %v under %v", m.Route, before[i].Pace, before[i].Limit, m.Pace, m.Limit)
+		}
+		if was := before[i].HalvedAt; was != 0 && m.HalvedAt != was-time.Minute-200*time.Millisecond {
+			t.Errorf("%s: refused at %v of the old clock, %v of the new one", m.Route, was, m.HalvedAt)
+		}
+	}
+	if len(young.Memories()) == 0 || young.Memories()[0].Limit != 40 {
+		t.Fatalf("nothing recalled: %+v", young.Memories())
+	}
+	for _, age := range []time.Duration{-time.Second, time.Hour} {
+		if m := recall(age).Memories()[0]; m.Limit != 0 || m.Pace != 0 {
+			t.Errorf("recalled from %v ago: %+v", age, m)
+		}
+	}
+}
