Have disks fail in the testbed: power lost, full, failing syncs, slow syncs

Needed to prove recovery with real processes. The relay's build for the testbed writes down every change of its state folder (a build tag; no other build has it). At a loss of power the testbed kills the relay, replays the trace in a folder in memory that knows what was synced, draws one of the states that may be left, and starts the relay on it.

--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -27,15 +27,16 @@
 var errBroken = errors.New("broken")
 
 var cli struct {
-	Run     runCmd     `cmd:"" help:"Play an experiment: exit 0 if all its bounds hold, 1 if one does not or a rule is broken, 2 if it could not be run."`
-	Plan    planCmd    `cmd:"" help:"Print what a seed gives: sizes, faults with their moments and targets, and every message. Runs nothing."`
-	Compare compareCmd `cmd:"" help:"Play two revisions in turns on this machine and tell whether they differ beyond noise."`
-	Report  reportCmd  `cmd:"" help:"Write a run's report, Markdown with plots, into its folder."`
-	Breaks  breaksCmd  `cmd:"" help:"Check the judge: play builds that are broken on purpose, and see that each is caught."`
-	Load    loadCmd    `cmd:"" help:"Check the clients: hand messages to a stand-in that answers at once, and tell how late the clients were."`
-	Faults  faultsCmd  `cmd:"" help:"List the kinds of fault that an experiment may name."`
-	Burn    burnCmd    `cmd:"" hidden:"" help:"Take all of a core for a while."`
-	StandIn standInCmd `cmd:"" hidden:"" name:"stand-in" help:"Answer every request with 202 at once."`
+	Run      runCmd      `cmd:"" help:"Play an experiment: exit 0 if all its bounds hold, 1 if one does not or a rule is broken, 2 if it could not be run."`
+	Plan     planCmd     `cmd:"" help:"Print what a seed gives: sizes, faults with their moments and targets, and every message. Runs nothing."`
+	Compare  compareCmd  `cmd:"" help:"Play two revisions in turns on this machine and tell whether they differ beyond noise."`
+	Report   reportCmd   `cmd:"" help:"Write a run's report, Markdown with plots, into its folder."`
+	Breaks   breaksCmd   `cmd:"" help:"Check the judge: play builds that are broken on purpose, and see that each is caught."`
+	Recovery recoveryCmd `cmd:"" help:"Measure one relay: what durability costs, and how long a start takes with how much in its log."`
+	Load     loadCmd     `cmd:"" help:"Check the clients: hand messages to a stand-in that answers at once, and tell how late the clients were."`
+	Faults   faultsCmd   `cmd:"" help:"List the kinds of fault that an experiment may name."`
+	Burn     burnCmd     `cmd:"" hidden:"" help:"Take all of a core for a while."`
+	StandIn  standInCmd  `cmd:"" hidden:"" name:"stand-in" help:"Answer every request with 202 at once."`
 }
 
 func main() {
--- a/cmd/testbed/run.go
+++ b/cmd/testbed/run.go
@@ -26,16 +26,16 @@
 }
 
 func (c *runCmd) Run(ctx context.Context) error {
-	program, revision, err := relayProgram(ctx, c.Build, c.Out)
-	if err != nil {
-		return err
-	}
 	broken := false
 	for _, path := range c.Experiments {
 		x, err := experiment.Read(path)
 		if err != nil {
 			return err
 		}
+		program, revision, err := relayProgram(ctx, c.Build, c.Out, x.NeedsDisk())
+		if err != nil {
+			return err
+		}
 		if c.Relays > 0 {
 			x.Fleet.Relays = experiment.Of(c.Relays, c.Relays)
 			x.Fleet.QuickRelays = x.Fleet.Relays
@@ -63,9 +63,10 @@
 	return nil
 }
 
-// relayProgram is the relay to play: one that is built, or the work as it stands.
-func relayProgram(ctx context.Context, built, out string) (program, revision string, err error) {
-	if built != "" {
+// relayProgram is the relay to play: one that is built, or the work as it stands. Where disks are to fail it has to write
+// down what it does to its own, and is built for that.
+func relayProgram(ctx context.Context, built, out string, disk bool) (program, revision string, err error) {
+	if built != "" && !disk {
 		for _, path := range []string{filepath.Join(built, build.Relay), filepath.Join(built, "bin", build.Relay)} {
 			if _, err := os.Stat(path); err == nil {
 				path, err = filepath.Abs(path)
@@ -78,6 +79,9 @@
 	if err != nil {
 		return "", "", err
 	}
+	if disk {
+		return build.Work(ctx, root, filepath.Join(out, "bin-disk"), "testbed")
+	}
 	return build.Work(ctx, root, filepath.Join(out, "bin"))
 }
 
@@ -129,9 +133,10 @@
 
 type compareCmd struct {
 	Experiment string   `arg:"" type:"existingfile" help:"The experiment's file."`
-	Base       string   `required:"" help:"The revision to compare with."`
+	Base       string   `xor:"base" required:"" help:"The revision to compare with."`
+	Against    string   `xor:"base" required:"" type:"existingfile" help:"Or another experiment's file, that the same program plays: one setting apart, say."`
 	With       string   `help:"The other revision; none: the work as it stands."`
-	Plays      int      `default:"5" help:"How often each is played, every time with another seed."`
+	Plays      int      `default:"6" help:"How often each is played, every time with another seed; with fewer than 6 nothing can stand out."`
 	Seed       uint64   `default:"1" help:"The first seed."`
 	Quick      bool     `help:"The shorter, smaller plays."`
 	Out        string   `default:"results" help:"Folder for the results."`
@@ -149,11 +154,14 @@
 	}
 	type side struct {
 		name, program, revision string
+		x                       *experiment.Experiment
 		results                 []*run.Result
 	}
-	sides := []*side{{name: "base"}, {name: "with"}}
-	if sides[0].program, sides[0].revision, err = build.Revision(ctx, root, c.Base, "", filepath.Join(c.Out, "base")); err != nil {
-		return err
+	sides := []*side{{name: "base", x: x}, {name: "with", x: x}}
+	if c.Base != "" {
+		if sides[0].program, sides[0].revision, err = build.Revision(ctx, root, c.Base, "", filepath.Join(c.Out, "base")); err != nil {
+			return err
+		}
 	}
 	if c.With == "" {
 		sides[1].program, sides[1].revision, err = build.Work(ctx, root, filepath.Join(c.Out, "with"))
@@ -163,6 +171,12 @@
 	if err != nil {
 		return err
 	}
+	if c.Against != "" {
+		if sides[0].x, err = experiment.Read(c.Against); err != nil {
+			return err
+		}
+		sides[0].program, sides[0].revision, sides[1].revision = sides[1].program, sides[0].x.Name, x.Name
+	}
 	for i := range c.Plays {
 		order := slices.Clone(sides)
 		if i%2 == 1 {
@@ -171,7 +185,7 @@
 		for _, s := range order {
 			seed := c.Seed + uint64(i)
 			out := filepath.Join(c.Out, fmt.Sprintf("compare-%s-%s-%d", x.Name, s.name, seed))
-			r, err := run.Run(ctx, run.Options{Experiment: x, Seed: seed, Quick: c.Quick, Program: s.program, Revision: s.revision, Out: out,
+			r, err := run.Run(ctx, run.Options{Experiment: s.x, Seed: seed, Quick: c.Quick, Program: s.program, Revision: s.revision, Out: out,
 				Progress: progress()})
 			if errors.Is(err, run.ErrInvalid) {
 				return fmt.Errorf("%s, play %d: %w", s.revision, i+1, err)
--- a/internal/testbed/audit/worth.go
+++ b/internal/testbed/audit/worth.go
@@ -170,6 +170,8 @@
 	for _, c := range customers {
 		fig["served_worst_customer"] = math.Min(fig["served_worst_customer"], c.value())
 	}
+	fig["back_s"] = back(p, seconds)
+	fig["starts"] = float64(len(l.Lives))
 	work(p, l, n, fig)
 	fig["goal"] = weightWhole*fig["served"] + weightWindow*fig["served_worst_10s"] + weightClass*fig["served_worst_class"] +
 		weightCustomer*fig["served_worst_customer"] - priceHandshake*fig["handshakes"] - priceWaste*fig["wasted"] -
@@ -192,6 +194,29 @@
 	return least
 }
 
+// back is how long after the first relays are killed service is back: seconds until two in a row serve 95% of what the
+// eight before the kill did. -1 if none are killed, the rest of the run if it never is.
+func back(p *plan.Plan, seconds []share) float64 {
+	for _, f := range p.Faults {
+		if f.Kind != "kill" {
+			continue
+		}
+		at := int(f.At / time.Second)
+		var before share
+		for _, s := range seconds[max(0, at-8):at] {
+			before.asked, before.got = before.asked+s.asked, before.got+s.got
+		}
+		for i := at + 1; i+1 < len(seconds); i++ {
+			two := share{seconds[i].asked + seconds[i+1].asked, seconds[i].got + seconds[i+1].got}
+			if two.value() >= 0.95*before.value() {
+				return float64(i) - f.At.Seconds()
+			}
+		}
+		return (p.Length - f.At).Seconds()
+	}
+	return -1
+}
+
 // work adds what the fleet's calls cost, each by message.
 func work(p *plan.Plan, l *ledger.Ledger, n float64, fig map[string]float64) {
 	var calls, fresh, probes, crossed, refused, lost, all, down float64
--- a/internal/testbed/build/build.go
+++ b/internal/testbed/build/build.go
@@ -32,7 +32,7 @@
 
 // Work builds the work as it stands into a folder and returns the program's path and the revision, with + behind it where
 // the work differs.
-func Work(ctx context.Context, root, into string) (program, revision string, err error) {
+func Work(ctx context.Context, root, into string, tags ...string) (program, revision string, err error) {
 	revision = "unknown"
 	if head, err := git(ctx, root, "rev-parse", "--short", "HEAD"); err == nil {
 		revision = head
@@ -40,7 +40,7 @@
 			revision += "+"
 		}
 	}
-	program, err = compile(ctx, root, into)
+	program, err = compile(ctx, root, into, tags...)
 	return program, revision, err
 }
 
@@ -68,7 +68,7 @@
 	return program, revision, err
 }
 
-func compile(ctx context.Context, tree, into string) (string, error) {
+func compile(ctx context.Context, tree, into string, tags ...string) (string, error) {
 	into, err := filepath.Abs(into)
 	if err != nil {
 		return "", fmt.Errorf("build: %w", err)
@@ -77,7 +77,7 @@
 		return "", fmt.Errorf("build: %w", err)
 	}
 	program := filepath.Join(into, Relay)
-	cmd := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-ldflags=-linkmode=external", "-o", program, "./cmd/"+Relay)
+	cmd := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-ldflags=-linkmode=external", "-tags="+strings.Join(tags, ","), "-o", program, "./cmd/"+Relay)
 	cmd.Dir, cmd.Env = tree, append(os.Environ(), "CGO_ENABLED=1")
 	if out, err := cmd.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("build: %w: %s", err, strings.TrimSpace(string(out)))
--- a/internal/testbed/experiment/experiment.go
+++ b/internal/testbed/experiment/experiment.go
@@ -47,6 +47,9 @@
 	DiskMB      float64  `toml:"disk_mb"`
 	SlotsRoom   Range    `toml:"slots_room"` // slots over what a relay's part of the full load keeps busy
 	HoldSeconds Range    `toml:"hold_s"`     // messages that a relay may hold, in seconds of its part of the full load
+	State       string   `toml:"state"`      // durability of a state folder in segments, "process" or "power"; none: in one file
+	SyncMS      Range    `toml:"sync_ms"`    // what a sync takes, on the testbed's disk
+	Memories    bool     `toml:"memories"`   // relays put down what they know of partners; with State
 }
 
 // Partners is the destinations and their endpoints.
@@ -138,6 +141,8 @@
 // Fault is one trouble on the timeline.
 type Fault struct {
 	Kind  string `toml:"kind"`
+	Times Range  `toml:"times"` // so many of it; none: one. Under --quick as many in a second
+	Over  Range  `toml:"over"`  // and spread over so much of the length from At on
 	At    Range  `toml:"at"`    // share of the length that has passed by then, from 0 to 1
 	For   Spans  `toml:"for"`   // how long; 0: a moment
 	Share Range  `toml:"share"` // of the relays, or of the traffic of the partners, that it strikes
@@ -176,6 +181,10 @@
 	"hang":      "partners take calls and answer none",
 	"limits":    "partners lower their limits to Size",
 	"release":   "Share of the endpoints are replaced in steps over For",
+	"power":     "relays' machines lose their power and come back after For: what their disks had not synced is there or not",
+	"disk-full": "relays can write nothing to their disks for For",
+	"disk-sick": "relays' disks fail every sync for For",
+	"disk-slow": "relays' syncs take Size milliseconds each for For",
 	"quiet":     "discovery says nothing for For",
 	"late-news": "discovery's news comes Size seconds later",
 	"move":      "discovery moves, told by a new configuration and SIGHUP",
@@ -184,11 +193,16 @@
 	"leave":     "Size of the clients leave before their answer",
 }
 
+// NeedsDisk tells whether the relays have to run on the testbed's disk.
+func (x *Experiment) NeedsDisk() bool {
+	return slices.ContainsFunc(x.Faults, func(f Fault) bool { return f.Kind == "power" || strings.HasPrefix(f.Kind, "disk-") })
+}
+
 // FaultNames are the kinds of fault in their order.
 func FaultNames() []string { return slices.Sorted(maps.Keys(FaultKinds)) }
 
 // struck lists the kinds that need Share.
-var struck = []string{"kill", "term", "pause", "replace", "starve", "slow", "errors", "shut", "down", "hang", "limits", "release"}
+var struck = []string{"power", "disk-full", "disk-sick", "disk-slow", "kill", "term", "pause", "replace", "starve", "slow", "errors", "shut", "down", "hang", "limits", "release"}
 
 // Read reads an experiment's file.
 func Read(path string) (*Experiment, error) {
@@ -272,7 +286,16 @@
 			say("load.class %s: deadline %v before aim %v", c.Name, c.Deadline.D(), c.Aim.D())
 		}
 	}
+	if !slices.Contains([]string{"", "process", "power"}, x.Fleet.State) {
+		say("fleet.state: %q is not process or power", x.Fleet.State)
+	}
+	if x.Fleet.State == "" && (x.Fleet.Memories || x.NeedsDisk()) {
+		say("fleet.state: memories and faults of the disk need a folder in segments")
+	}
 	for i, f := range x.Faults {
+		if f.At.Hi+f.Over.Hi >= 1 {
+			say("fault %d: at and over together are a share of the length, under 1", i+1)
+		}
 		if _, ok := FaultKinds[f.Kind]; !ok {
 			say("fault %d: unknown kind %q", i+1, f.Kind)
 		}
--- a/internal/testbed/plan/faults.go
+++ b/internal/testbed/plan/faults.go
@@ -22,49 +22,60 @@
 // faults draws each fault's moment, targets and size.
 func (p *Plan) faults(rng *rand.Rand) {
 	for _, x := range p.Experiment.Faults {
-		f := Fault{Kind: x.Kind, At: time.Duration(x.At.Draw(rng) * float64(p.Length)), For: x.For.Draw(rng), Size: x.Size.Draw(rng),
-			Building: -1}
-		end := time.Duration(lastFault * float64(p.Length))
-		f.For = max(0, min(f.For, end-f.At))
-		share := x.Share.Draw(rng)
-		if x.In == "building" {
-			f.Building = rng.IntN(len(p.Buildings))
+		times := 1
+		if n := x.Times.Draw(rng); n > 0 {
+			times = max(1, int(n*float64(p.Length)/float64(p.Experiment.Length.D())+0.5))
 		}
-		switch x.Kind {
-		case "kill", "term", "pause", "replace", "starve", "hostile", "move":
-			if share == 0 {
-				share = 1
-			}
-			f.Relays = p.strikeRelays(rng, share, f.Building)
-			if x.Kind == "kill" {
-				for _, r := range f.Relays {
-					if rng.Float64() < f.Size {
-						f.Emptied = append(f.Emptied, r)
-					}
+		for range times {
+			p.fault(rng, x)
+		}
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+}
+
+// fault draws one fault.
+func (p *Plan) fault(rng *rand.Rand, x experiment.Fault) {
+	f := Fault{Kind: x.Kind, At: time.Duration((x.At.Draw(rng) + rng.Float64()*x.Over.Draw(rng)) * float64(p.Length)), For: x.For.Draw(rng), Size: x.Size.Draw(rng),
+		Building: -1}
+	end := time.Duration(lastFault * float64(p.Length))
+	f.For = max(0, min(f.For, end-f.At))
+	share := x.Share.Draw(rng)
+	if x.In == "building" {
+		f.Building = rng.IntN(len(p.Buildings))
+	}
+	switch x.Kind {
+	case "power", "disk-full", "disk-sick", "disk-slow", "kill", "term", "pause", "replace", "starve", "hostile", "move":
+		if share == 0 {
+			share = 1
+		}
+		f.Relays = p.strikeRelays(rng, share, f.Building)
+		if x.Kind == "kill" {
+			for _, r := range f.Relays {
+				if rng.Float64() < f.Size {
+					f.Emptied = append(f.Emptied, r)
 				}
 			}
-		case "roll", "upgrade":
-			p.spread(rng, f)
-			continue
-		case "cut", "one-way":
-			if f.Building < 0 {
-				f.Building = rng.IntN(len(p.Buildings))
-			}
-			for i := range p.Relays {
-				if p.Relays[i].Building == f.Building {
-					f.Relays = append(f.Relays, i)
-				}
+		}
+	case "roll", "upgrade":
+		p.spread(rng, f)
+		return
+	case "cut", "one-way":
+		if f.Building < 0 {
+			f.Building = rng.IntN(len(p.Buildings))
+		}
+		for i := range p.Relays {
+			if p.Relays[i].Building == f.Building {
+				f.Relays = append(f.Relays, i)
 			}
-		case "release":
-			p.release(rng, &f, share)
-		case "loss", "delay", "reset", "answers", "silent":
-			f.Relays = p.strikeRelays(rng, cmp.Or(share, 1), f.Building)
-		case "slow", "errors", "shut", "down", "hang", "limits":
-			f.Partners, f.Endpoints = p.strikePartners(rng, x, share, f.Building)
 		}
-		p.Faults = append(p.Faults, f)
+	case "release":
+		p.release(rng, &f, share)
+	case "loss", "delay", "reset", "answers", "silent":
+		f.Relays = p.strikeRelays(rng, cmp.Or(share, 1), f.Building)
+	case "slow", "errors", "shut", "down", "hang", "limits":
+		f.Partners, f.Endpoints = p.strikePartners(rng, x, share, f.Building)
 	}
-	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	p.Faults = append(p.Faults, f)
 }
 
 // strikeRelays draws a share of the relays, one at least.
--- /dev/null
+++ b/internal/testbed/process/disk.go
@@ -0,0 +1,163 @@
+package process
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/disk"
+	"onyxroad.dev/onyxroad/internal/disk/crashdisk"
+	"onyxroad.dev/onyxroad/internal/disk/tracedisk"
+	"onyxroad.dev/onyxroad/internal/testbed/network"
+	"onyxroad.dev/onyxroad/internal/testbed/plan"
+)
+
+// The relays' disks. Where an experiment has them fail, the relays are built to write down every change of their folders,
+// and what a loss of power leaves is worked out from that.
+
+// own is the environment that the project's own settings and the testbed's disk ask for.
+func (f *Fleet) own(r int, state string) ([]string, error) {
+	x := f.plan.Experiment
+	if x.Fleet.State == "" {
+		return nil, nil
+	}
+	path := filepath.Join(f.dir, f.plan.Relays[r].Name, "settings.toml")
+	text := fmt.Sprintf("[state]\ndurability = %q\nmemories = %v\n", x.Fleet.State, x.Fleet.Memories)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		return nil, fmt.Errorf("process: settings: %w", err)
+	}
+	env := []string{"IVYGAUGE_CONFIG=" + path}
+	if !x.NeedsDisk() {
+		return env, nil
+	}
+	image, err := readImage(state)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.relays[r].image = image
+	first := f.relays[r].count == 0
+	f.mu.Unlock()
+	if first {
+		if err := os.WriteFile(f.trace(r)+".faults", []byte(f.usual(r)), 0o600); err != nil {
+			return nil, fmt.Errorf("process: %w", err)
+		}
+	}
+	return append(env, tracedisk.Env+"="+f.trace(r)), nil
+}
+
+// usual is how a relay's disk is while nothing is wrong with it.
+func (f *Fleet) usual(r int) string {
+	rng := rand.New(rand.NewPCG(f.plan.Relays[r].Seed, 0x6469736b))
+	return fmt.Sprintf("slow=%.1fms", f.plan.Experiment.Fleet.SyncMS.Draw(rng))
+}
+
+func (f *Fleet) trace(r int) string { return filepath.Join(f.dir, f.plan.Relays[r].Name, "trace") }
+
+// ofLog tells whether a file of the state folder is the log's, which the trace tells of.
+func ofLog(name string) bool {
+	for _, prefix := range []string{"seg-", "snap", "wal.", "damaged-"} {
+		if strings.HasPrefix(name, prefix) && name != "wal.lock" {
+			return true
+		}
+	}
+	return false
+}
+
+// readImage reads the log's files.
+func readImage(state string) (map[string][]byte, error) {
+	d := disk.Dir(state)
+	names, err := d.Names()
+	if err != nil {
+		return nil, fmt.Errorf("process: %w", err)
+	}
+	image := map[string][]byte{}
+	for _, n := range names {
+		if !ofLog(n) {
+			continue
+		}
+		if strings.HasSuffix(n, "/") {
+			image[n] = nil
+		} else if image[n], err = d.ReadFile(n); err != nil {
+			return nil, fmt.Errorf("process: %w", err)
+		}
+	}
+	return image, nil
+}
+
+// losePower kills a relay, has its folder hold what a loss of power may have left, and starts it again.
+func (f *Fleet) losePower(r int, pause time.Duration) error {
+	x := f.relays[r]
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if p := f.last(r); p != nil {
+		f.setAlive(r, false)
+		f.end(p, syscall.SIGKILL)
+		state := filepath.Join(f.dir, f.plan.Relays[r].Name, "state")
+		rng := rand.New(rand.NewPCG(f.plan.Relays[r].Seed, uint64(x.count)))
+		d, err := tracedisk.Replay(x.image, f.trace(r), crashdisk.Draw(rng))
+		if err != nil {
+			return err
+		}
+		if err := writeImage(state, d, rng); err != nil {
+			return err
+		}
+	}
+	if network.Sleep(f.ctx, pause) != nil {
+		return nil
+	}
+	return f.begin(f.ctx, r, false)
+}
+
+// writeImage puts a folder's files in the place of the log's. What the trace does not tell of is there or not.
+func writeImage(state string, d *crashdisk.Disk, rng *rand.Rand) error {
+	entries, err := os.ReadDir(state)
+	if err != nil {
+		return fmt.Errorf("process: %w", err)
+	}
+	for _, e := range entries {
+		if ofLog(e.Name()) || strings.HasPrefix(e.Name(), "partners") && rng.IntN(2) == 0 {
+			if err := os.RemoveAll(filepath.Join(state, e.Name())); err != nil {
+				return fmt.Errorf("process: %w", err)
+			}
+		}
+	}
+	names, err := d.Names()
+	if err != nil {
+		return err
+	}
+	for _, n := range names {
+		if folder, ok := strings.CutSuffix(n, "/"); ok {
+			if err := disk.Dir(state).Guard(folder, "kept"); err != nil {
+				return fmt.Errorf("process: %w", err)
+			}
+			continue
+		}
+		data, err := d.ReadFile(n)
+		if err == nil {
+			err = os.WriteFile(filepath.Join(state, n), data, 0o600)
+		}
+		if err != nil {
+			return fmt.Errorf("process: %w", err)
+		}
+	}
+	return nil
+}
+
+// diskFails has a relay's disk fail for a time.
+func (f *Fleet) diskFails(r int, x *plan.Fault) error {
+	words := map[string]string{"disk-full": "full", "disk-sick": "broken", "disk-slow": fmt.Sprintf("slow=%.0fms", x.Size)}
+	path := f.trace(r) + ".faults"
+	if err := os.WriteFile(path, []byte(words[x.Kind]), 0o600); err != nil {
+		return fmt.Errorf("process: %w", err)
+	}
+	network.Sleep(f.ctx, x.For)
+	if err := os.WriteFile(path, []byte(f.usual(r)), 0o600); err != nil {
+		return fmt.Errorf("process: %w", err)
+	}
+	return nil
+}
--- a/internal/testbed/process/fleet.go
+++ b/internal/testbed/process/fleet.go
@@ -54,10 +54,11 @@
 
 // relay is one relay over all its processes.
 type relay struct {
-	mu    sync.Mutex // held over a whole restart or replacement
-	count int        // processes so far
-	now   []*process // that run; two while one takes the other's place
-	alive bool       // clients may come: its process is ready
+	mu    sync.Mutex        // held over a whole restart or replacement
+	count int               // processes so far
+	image map[string][]byte // of its state folder when the last one began, on the testbed's disk
+	now   []*process        // that run; two while one takes the other's place
+	alive bool              // clients may come: its process is ready
 }
 
 // process is one process of a relay.
@@ -145,6 +146,10 @@
 	if err := f.configure(r); err != nil {
 		return nil, err
 	}
+	own, err := f.own(r, state)
+	if err != nil {
+		return nil, err
+	}
 	f.mu.Lock()
 	n := x.count
 	x.count++
@@ -157,6 +162,7 @@
 	p.cmd.Stdout, p.cmd.Stderr, p.cmd.Dir = log, log, home
 	p.cmd.Env = []string{"ROUTER_NAME=" + f.plan.Relays[r].Name, "ROUTER_LISTEN=" + f.ports.Relay(r), "ROUTER_DISCOVERY=" + f.platform.Agent(r),
 		"ROUTER_STATE=" + state, "ROUTER_CONFIG=" + f.configPath(r), "ROUTER_ADMIN_ADDR=" + p.admin, "TMPDIR=" + temp}
+	p.cmd.Env = append(p.cmd.Env, own...)
 	p.life = &ledger.Life{Relay: r, Start: f.book.Now(), Ready: ledger.Never, Asked: ledger.Never, End: ledger.Never, Emptied: emptied,
 		Replaces: beside}
 	if err := f.start.start(p.cmd); err != nil {
@@ -248,6 +254,10 @@
 		do = func(r int) error {
 			return f.restart(r, syscall.SIGKILL, max(x.For, restartIn), slices.Contains(x.Emptied, r))
 		}
+	case "power":
+		do = func(r int) error { return f.losePower(r, max(x.For, restartIn)) }
+	case "disk-full", "disk-sick", "disk-slow":
+		do = func(r int) error { return f.diskFails(r, x) }
 	case "term":
 		do = func(r int) error { return f.restart(r, syscall.SIGTERM, restartIn, false) }
 	case "pause":
