--- a/internal/wal/frame.go
+++ b/internal/wal/frame.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"hash/crc32"
 	"math/bits"
+	"sync"
 )
 
 // A file of segments or of a snapshot is a row of frames: the payload's length, how much of the file was known to be on
@@ -13,7 +14,8 @@
 
 const frameBytes = 12
 
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+// castagnoli is made when it is first used: a relay without segments shall not pay for it at its start.
+var castagnoli = sync.OnceValue(func() *crc32.Table { return crc32.MakeTable(crc32.Castagnoli) })
 
 // frame is one that was read.
 type frame struct {
@@ -36,8 +38,9 @@
 	var place [16]byte
 	binary.LittleEndian.PutUint64(place[:], salt)
 	binary.LittleEndian.PutUint64(place[8:], uint64(at))
-	sum := crc32.Update(0, castagnoli, place[:])
-	return crc32.Update(crc32.Update(sum, castagnoli, head), castagnoli, payload)
+	table := castagnoli()
+	sum := crc32.Update(0, table, place[:])
+	return crc32.Update(crc32.Update(sum, table, head), table, payload)
 }
 
 // readFrame reads the frame at the start of rest, which is at offset at of its file; ok is false if there is no whole one.
@@ -94,8 +97,9 @@
 	}
 	// A flipped bit changes the checksum by what depends on its distance from the end alone.
 	var change [8]uint32
+	table := castagnoli()
 	for bit := range change {
-		change[bit] = castagnoli[1<<bit]
+		change[bit] = table[1<<bit]
 	}
 	for k := int(n) - 1; k >= -4; k-- { // the payload, and before it what is known to be on disk
 		for bit := range change {
@@ -107,7 +111,7 @@
 				try(n, off, 1<<bit)
 				return f, ok
 			}
-			change[bit] = castagnoli[change[bit]&0xff] ^ change[bit]>>8
+			change[bit] = table[change[bit]&0xff] ^ change[bit]>>8
 		}
 	}
 	return f, false
