Add membership among relays: views, how far they are agreed on, and who may serve

Relays knew their number from the settings and nothing of each other.

With [membership] in the settings a relay joins its fleet by gossip, on a library for that and for failure detection. internal/membership turns its events into views, as a state machine with its clock passed in: a member is a relay, and of several processes under one name the newest incarnation counts, which is kept in the state folder and grows with every start, so that a restart, a hand-over, a copied folder and a new address need no rule of their own. A view says whether it is agreed, settling, split or alone, by digests that members tell each other, and how many may serve; a member that is not heard is dead once its machine refuses a connection, and may serve until then. Strangers, by label or name, are turned away. GET /api/members, figures, a log line for each view, cherrytrestlectl members. Nothing decides by views yet. The library stands in cherrytrestle-fleet alone, which cherrytrestle starts in its own place, so that a relay without a fleet does not pay for it.

--- a/cmd/cherrytrestlectl/main.go
+++ b/cmd/cherrytrestlectl/main.go
@@ -26,7 +26,8 @@
 		Show   showCmd   `cmd:"" help:"Show the messages that a stopped relay's folder holds. Changes nothing."`
 		Repair repairCmd `cmd:"" help:"Put a stopped relay's folder in order, as a start would, or into another format."`
 	} `cmd:"" help:"A relay's state folder."`
-	Config struct {
+	Members membersCmd `cmd:"" help:"Show who is in the fleet, as one relay sees it. Exit 1 if its view is not agreed on."`
+	Config  struct {
 		Check configCmd `cmd:"" help:"Check a settings file."`
 	} `cmd:"" help:"The settings file."`
 }
--- a/cmd/cherrytrestlectl/main_test.go
+++ b/cmd/cherrytrestlectl/main_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"slices"
@@ -11,6 +13,7 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/disk"
+	"onyxroad.dev/onyxroad/internal/membership"
 	"onyxroad.dev/onyxroad/internal/wal"
 )
 
@@ -147,3 +150,29 @@
 		t.Errorf("--help: %d, %s", code, out)
 	}
 }
+
+func TestMembers(t *testing.T) {
+	v := membership.View{Version: 7, Agreement: membership.Agreed, Present: 1, Careful: 1,
+		Members: []membership.Member{{Process: membership.Process{Name: "n3", Building: "north", State: membership.Serving, Version: "abc"}},
+			{Process: membership.Process{Name: "n4"}, Away: membership.Dead}}}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/api/members" {
+			http.NotFound(w, r)
+			return
+		}
+		json.NewEncoder(w).Encode(v)
+	}))
+	defer s.Close()
+	addr := strings.TrimPrefix(s.URL, "http://")
+	code, out := ctl("members", "--addr", addr)
+	if code != 0 || !strings.Contains(out, "view 7, agreed") || !strings.Contains(out, "serving") || !strings.Contains(out, "dead") {
+		t.Errorf("%d, %s", code, out)
+	}
+	v.Agreement = membership.Split
+	if code, out := ctl("--json", "members", "--addr", addr); code != 1 || !strings.Contains(out, `"split"`) {
+		t.Errorf("%d, %s", code, out)
+	}
+	if code, _ := ctl("members", "--addr", "127.0.0.1:1"); code != 2 {
+		t.Errorf("nobody there: %d", code)
+	}
+}
--- a/cmd/cherrytrestle/files_testbed.go
+++ b/internal/program/files_testbed.go
@@ -1,6 +1,6 @@
 //go:build testbed
 
-package main
+package program
 
 import (
 	"os"
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,159 @@
+// Package program is the relay's program, which two commands share: the one by itself, and the one that is a member of its
+// fleet.
+package program
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/membership"
+	"onyxroad.dev/onyxroad/internal/relay"
+	"onyxroad.dev/onyxroad/internal/settings"
+)
+
+// heapShare is the part of the memory limit that the heap may grow to; the rest is for stacks, the program
+// itself and the files of the log.
+const heapShare = 0.7
+
+const usage = `Usage: cherrytrestle [relay] [--config FILE]
+
+Runs one relay until SIGTERM. ROUTER_CONFIG names the platform's configuration; ROUTER_NAME, ROUTER_LISTEN,
+ROUTER_DISCOVERY, ROUTER_STATE and ROUTER_ADMIN_ADDR go before what stands there.
+
+  --config FILE   the settings of this project; IVYGAUGE_CONFIG if not given. Without one all of these are off:
+                  [state] durability = "process" or "power", memories, memories_every
+                  [membership] fleet, bind, advertise, seeds, allow
+                  log_format, log_level
+                  Check a file with: cherrytrestlectl config check FILE
+
+Exit: 0 after SIGTERM, 1 if it could not start or go on, 2 for wrong use.
+`
+
+// Fleet is the program beside this one that has what membership takes.
+const Fleet = "cherrytrestle-fleet"
+
+// Main runs the program. join joins the fleet; nil in the program that can't.
+func Main(join membership.Join) {
+	set := flag.NewFlagSet("cherrytrestle", flag.ContinueOnError)
+	set.Usage = func() { fmt.Fprint(os.Stderr, usage) }
+	path := set.String("config", "", "")
+	args := os.Args[1:]
+	if len(args) > 0 && args[0] == "relay" {
+		args = args[1:]
+	}
+	switch err := set.Parse(args); {
+	case err == flag.ErrHelp:
+		return
+	case err != nil:
+		os.Exit(2)
+	case set.NArg() > 0:
+		fmt.Fprintf(os.Stderr, "cherrytrestle: %q means nothing here\n%s", set.Arg(0), usage)
+		os.Exit(2)
+	}
+	if err := run(*path, join); err != nil {
+		slog.Error("stopped", "err", err)
+		os.Exit(1)
+	}
+}
+
+func run(path string, join membership.Join) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	reload := make(chan os.Signal, 1) // caught from the start: unhandled, SIGHUP ends the process
+	signal.Notify(reload, syscall.SIGHUP)
+	own, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	slog.SetDefault(own.Logger())
+	if own.Membership != nil && join == nil {
+		return inPlace()
+	}
+	cfg, err := relay.LoadConfig(os.Getenv)
+	if err != nil {
+		return err
+	}
+	if st := own.State; st != nil {
+		cfg.Segments, cfg.Power = true, st.Power()
+		if st.Remembers() {
+			cfg.MemoriesEvery = time.Duration(st.MemoriesEvery)
+		}
+		if cfg.Disk, err = files(cfg.StateDir); err != nil {
+			return err
+		}
+	}
+	if m := own.Membership; m != nil {
+		cfg.Join, cfg.Membership = join, membership.Config{Fleet: m.Fleet, Name: cfg.Name, Bind: m.Bind, Advertise: m.Advertise,
+			Seeds: m.Seeds, Allow: m.Allow, Size: cfg.Settings.Senders, StateDir: cfg.StateDir, Version: version(), Log: slog.Default()}
+		if z := cfg.Settings.Zone; z >= 0 && z < len(cfg.Zones) {
+			cfg.Membership.Building = cfg.Zones[z]
+		}
+	}
+	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * heapShare * (1 << 20)))
+	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
+	r, err := relay.New(ctx, cfg, slog.Default())
+	if ctx.Err() != nil {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	go func() {
+		for range reload {
+			cfg, err := relay.ReloadConfig(os.Getenv)
+			if err != nil {
+				slog.Warn("keeping the configuration", "err", err)
+				continue
+			}
+			r.Reload(cfg)
+		}
+	}()
+	return r.Run(ctx)
+}
+
+// inPlace has the program that can be a member take this one's place: the same process, with the same arguments.
+func inPlace() error {
+	self, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	path := filepath.Join(filepath.Dir(self), Fleet)
+	return fmt.Errorf("start: [membership] needs %s: %w", path, syscall.Exec(path, os.Args, os.Environ()))
+}
+
+// version is the program's: the revision that it was built from, or a digest of itself where that is not in it.
+func version() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value[:min(12, len(s.Value))]
+			}
+		}
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return ""
+	}
+	f, err := os.Open(self)
+	if err != nil {
+		return ""
+	}
+	defer f.Close()
+	h := sha256.New()
+	if _, err := io.Copy(h, f); err != nil {
+		return ""
+	}
+	return hex.EncodeToString(h.Sum(nil)[:6])
+}
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -93,12 +93,15 @@
 // admin answers a call at the second address.
 func (r *Relay) admin(_ *client, req *http.Request) answer {
 	switch path := req.URL.Path; path {
-	case "/api/ready", "/api/telemetry":
+	case "/api/ready", "/api/telemetry", "/api/members":
 		if req.Method != http.MethodGet {
 			return answer{status: http.StatusMethodNotAllowed, text: "GET only"}
 		}
 		if path == "/api/telemetry" {
-			return answer{status: http.StatusOK, text: r.figures.String()}
+			return answer{status: http.StatusOK, text: r.figures.String() + r.fleet.figures()}
+		}
+		if path == "/api/members" {
+			return r.members()
 		}
 		if !r.ready() {
 			return answer{status: http.StatusServiceUnavailable, text: "not serving"}
--- a/internal/relay/admin_test.go
+++ b/internal/relay/admin_test.go
@@ -28,7 +28,10 @@
 func ask(t *testing.T, addr, method, path, body string) (int, string) {
 	t.Helper()
 	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body)
-	res := read(t, bufio.NewReader(dial(t, addr, text)))
+	res, err := http.ReadResponse(bufio.NewReader(dial(t, addr, text)), nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
 	got, err := io.ReadAll(res.Body)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/disk"
+	"onyxroad.dev/onyxroad/internal/membership"
 	"onyxroad.dev/onyxroad/internal/wire"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -47,6 +48,8 @@
 	Power         bool          // and outlasts a loss of power
 	MemoriesEvery time.Duration // what is known of partners is put down so often; 0: not at all
 	Disk          disk.FS       // the log's files; nil: the operating system's
+	Join          membership.Join
+	Membership    membership.Config // with Join
 }
 
 // Limits are those of the relay's machine.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,7 @@
 	"sync/atomic"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/membership"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -101,6 +102,7 @@
 	ending  atomic.Bool // SIGTERM came
 	calls   sync.WaitGroup
 	byHand  *exclusions
+	fleet   fleet
 	handed  chan struct{} // closed when the relay has handed over
 
 	// Set before the loop begins.
@@ -232,6 +234,10 @@
 
 	go r.clients.run(r.listener)
 	r.serving.Store(true)
+	r.fleet.become(membership.Serving)
+	var joining sync.WaitGroup
+	joining.Go(func() { r.joinFleet(talk) })
+	defer joining.Wait()
 	r.log.Info("serving", "name", r.cfg.Name, "listen", r.listener.Addr().String())
 	defer r.heirs()()
 	select {
@@ -239,8 +245,13 @@
 		r.shutDown(r.listener)
 	case <-r.handed:
 		quiet()
+		// The new process has a newer incarnation, and the address, once this one lets it go.
+		if err := r.fleet.end(false); err != nil {
+			r.log.Warn("fleet", "err", err)
+		}
 		r.stepAside(ctx, r.listener)
 	}
+	quiet()
 	stopCalls()
 	r.calls.Wait() // their outcomes reach the log
 	stop()
@@ -266,6 +277,15 @@
 	began := time.Now()
 	by := func(d time.Duration) <-chan time.Time { return time.After(time.Until(began.Add(d))) }
 	r.ending.Store(true)
+	r.fleet.become(membership.Draining)
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		if err := r.fleet.end(true); err != nil {
+			r.log.Warn("fleet", "err", err)
+		}
+	}()
+	defer func() { <-left }()
 	r.clients.drain()
 	<-by(acceptFor)
 	listener.Close()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"os"
 	"strings"
 	"time"
@@ -22,6 +23,17 @@
 	LogFormat string     `toml:"log_format"` // "text" (default) or "json"
 	LogLevel  slog.Level `toml:"log_level"`  // "info" (default), "debug", "warn" or "error"
 	State     *State     `toml:"state"`      // none: the state folder is kept in one file, as ever
+
+	Membership *Membership `toml:"membership"` // none: the relay knows nothing of others
+}
+
+// Membership is the relay's part in its fleet.
+type Membership struct {
+	Fleet     string   `toml:"fleet"`     // the fleet's label: relays of another one are turned away
+	Bind      string   `toml:"bind"`      // host and port, for TCP and UDP
+	Advertise string   `toml:"advertise"` // where others find it, if not at bind
+	Seeds     []string `toml:"seeds"`     // hosts and ports of members to join by
+	Allow     []string `toml:"allow"`     // names of members, or beginnings of names with a * behind them; none: any
 }
 
 // State is how the state folder is kept.
@@ -120,6 +132,21 @@
 			errs = append(errs, fmt.Errorf("state.memories_every: %v is not between 100ms and 1m", every))
 		}
 	}
+	if m := s.Membership; m != nil {
+		if m.Fleet == "" {
+			errs = append(errs, errors.New("membership.fleet: the fleet needs a label"))
+		}
+		for key, addrs := range map[string][]string{"bind": {m.Bind}, "advertise": {m.Advertise}, "seeds": m.Seeds} {
+			for _, a := range addrs {
+				if key == "advertise" && a == "" {
+					continue
+				}
+				if _, err := netip.ParseAddrPort(a); err != nil {
+					errs = append(errs, fmt.Errorf("membership.%s: %q is not an IP address with a port", key, a))
+				}
+			}
+		}
+	}
 	return errors.Join(errs...)
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -21,6 +21,8 @@
 		"[state]\nmemories_every = \"5 s\"":                     "duration",
 		"[state]\nmemories_every = \"1h\"":                      "between",
 		"[state]\nmemories = false\nmemories_every = \"500ms\"": "without memories",
+		"[membership]\nfleet = \"lab\"\nbind = \"10.0.0.4\"":    "membership.bind",
+		"[membership]\nbind = \"10.0.0.4:7946\"":                "membership.fleet",
 		"log_format = \"xml\"":                                  "log_format",
 		"log_level = \"loud\"":                                  "x.toml:1",
 	} {
--- a/internal/testbed/build/build.go
+++ b/internal/testbed/build/build.go
@@ -11,8 +11,11 @@
 	"strings"
 )
 
-// Relay is the relay's package, and its program's name.
-const Relay = "cherrytrestle"
+// Relay is the relay's package, and its program's name; Fleet is that of the one that is a member of its fleet.
+const (
+	Relay = "cherrytrestle"
+	Fleet = "cherrytrestle-fleet"
+)
 
 // Root is the repository's root above a folder.
 func Root(from string) (string, error) {
@@ -77,7 +80,12 @@
 		return "", fmt.Errorf("build: %w", err)
 	}
 	program := filepath.Join(into, Relay)
-	cmd := exec.CommandContext(ctx, "go", "build", "-buildvcs=false", "-ldflags=-linkmode=external", "-tags="+strings.Join(tags, ","), "-o", program, "./cmd/"+Relay)
+	packages := []string{"./cmd/" + Relay}
+	if _, err := os.Stat(filepath.Join(tree, "cmd", Fleet)); err == nil {
+		packages = append(packages, "./cmd/"+Fleet) // earlier revisions have none
+	}
+	cmd := exec.CommandContext(ctx, "go", append([]string{"build", "-buildvcs=false", "-ldflags=-linkmode=external",
+		"-tags=" + strings.Join(tags, ","), "-o", into + "/"}, packages...)...)
 	cmd.Dir, cmd.Env = tree, append(os.Environ(), "CGO_ENABLED=1")
 	if out, err := cmd.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("build: %w: %s", err, strings.TrimSpace(string(out)))
--- a/internal/testbed/experiment/experiment.go
+++ b/internal/testbed/experiment/experiment.go
@@ -48,6 +48,7 @@
 	SlotsRoom   Range    `toml:"slots_room"` // slots over what a relay's part of the full load keeps busy
 	HoldSeconds Range    `toml:"hold_s"`     // messages that a relay may hold, in seconds of its part of the full load
 	State       string   `toml:"state"`      // durability of a state folder in segments, "process" or "power"; none: in one file
+	Members     bool     `toml:"members"`    // relays are members of their fleet
 	SyncMS      Range    `toml:"sync_ms"`    // what a sync takes, on the testbed's disk
 	Memories    bool     `toml:"memories"`   // relays put down what they know of partners; with State
 }
@@ -160,7 +161,7 @@
 // FaultKinds are the kinds of fault, with what Size means to each.
 var FaultKinds = map[string]string{
 	"kill":      "relays get SIGKILL and come back after For (Size: share of them whose folder is emptied)",
-	"term":      "relays are restarted in order (Size: share that is killed instead)",
+	"term":      "relays are restarted in order, and come back after For",
 	"pause":     "relays get SIGSTOP for For",
 	"replace":   "relays are replaced by a second process that takes their place (hand-over)",
 	"starve":    "relays share their core with one that takes all of it",
--- a/internal/testbed/ledger/ledger.go
+++ b/internal/testbed/ledger/ledger.go
@@ -7,6 +7,7 @@
 package ledger
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -29,10 +30,14 @@
 	Outages  []*Outage
 	Limits   []LimitChange
 	Unknowns []Unknown
+	Views    []ViewChange
 
 	byTrace map[string]*HandIn
 }
 
+// At is a moment of the wall clock, as the ledger counts.
+func (l *Ledger) At(t time.Time) time.Duration { return t.Sub(l.began) }
+
 // HandIn is one request that a client made. A message may be handed in several times, under a fresh trace each.
 type HandIn struct {
 	Message  int // index among the plan's arrivals
@@ -101,6 +106,15 @@
 	Replaces bool // a process beside which it was started
 }
 
+// ViewChange is a change of what a relay sees of its fleet, by its own log.
+type ViewChange struct {
+	Relay, PID int
+	At         time.Duration
+	Present    int
+	Agreement  string
+	Came, Gone []string // names
+}
+
 // Pause is a time for which a process stood still.
 type Pause struct{ From, To time.Duration }
 
@@ -203,5 +217,9 @@
 		l.Limits = append(l.Limits, x)
 	case Unknown:
 		l.Unknowns = append(l.Unknowns, x)
+	case ViewChange:
+		l.Views = append(l.Views, x)
+	default:
+		panic(fmt.Sprintf("ledger: no place for %T", x))
 	}
 }
--- a/internal/testbed/platform/platform.go
+++ b/internal/testbed/platform/platform.go
@@ -32,6 +32,7 @@
 	portRelay = iota + 1
 	portAdmin
 	portAgent
+	portGossip
 	portEndpoints = 16
 )
 
@@ -58,6 +59,9 @@
 // Relay is where clients find a relay.
 func (p *Ports) Relay(r int) string { return join(relayIP(r, 1), p.base+portRelay) }
 
+// Gossip is where a relay finds others of its fleet, and they it.
+func (p *Ports) Gossip(r int) string { return join(relayIP(r, 1), p.base+portGossip) }
+
 // Admin is the second address of a relay's process, which is another for each that is started.
 func (p *Ports) Admin(r, process int) string {
 	return join(relayIP(r, byte(10+process%200)), p.base+portAdmin)
--- a/internal/testbed/process/disk.go
+++ b/internal/testbed/process/disk.go
@@ -22,11 +22,21 @@
 // own is the environment that the project's own settings and the testbed's disk ask for.
 func (f *Fleet) own(r int, state string) ([]string, error) {
 	x := f.plan.Experiment
-	if x.Fleet.State == "" {
+	if x.Fleet.State == "" && !x.Fleet.Members {
 		return nil, nil
 	}
 	path := filepath.Join(f.dir, f.plan.Relays[r].Name, "settings.toml")
-	text := fmt.Sprintf("[state]\ndurability = %q\nmemories = %v\n", x.Fleet.State, x.Fleet.Memories)
+	text := "log_format = \"json\"\n"
+	if x.Fleet.State != "" {
+		text += fmt.Sprintf("[state]\ndurability = %q\nmemories = %v\n", x.Fleet.State, x.Fleet.Memories)
+	}
+	if x.Fleet.Members {
+		seeds := make([]string, 0, 3)
+		for k := range min(3, len(f.plan.Relays)) {
+			seeds = append(seeds, fmt.Sprintf("%q", f.ports.Gossip(k)))
+		}
+		text += fmt.Sprintf("[membership]\nfleet = \"testbed\"\nbind = %q\nseeds = [%s]\n", f.ports.Gossip(r), strings.Join(seeds, ", "))
+	}
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("process: settings: %w", err)
 	}
--- a/internal/testbed/process/fleet.go
+++ b/internal/testbed/process/fleet.go
@@ -259,7 +259,7 @@
 	case "disk-full", "disk-sick", "disk-slow":
 		do = func(r int) error { return f.diskFails(r, x) }
 	case "term":
-		do = func(r int) error { return f.restart(r, syscall.SIGTERM, restartIn, false) }
+		do = func(r int) error { return f.restart(r, syscall.SIGTERM, max(x.For, restartIn), false) }
 	case "pause":
 		do = func(r int) error { return f.pause(r, x.For) }
 	case "replace":
--- a/internal/testbed/run/run.go
+++ b/internal/testbed/run/run.go
@@ -230,11 +230,17 @@
 	// What still runs must not write while the judge reads.
 	c.fleet.Close()
 	c.platform.Close()
+	if err := c.fleet.Views(); err != nil {
+		return nil, err
+	}
 	fates := audit.Fates(c.plan, c.book, c.offset)
 	breaches := audit.Judge(c.plan, c.book, c.offset, c.end)
 	r := &Result{Experiment: c.o.Experiment.Name, Seed: c.o.Seed, Quick: c.o.Quick, Revision: c.o.Revision, Relays: len(c.plan.Relays),
 		Figures: audit.Figures(c.plan, c.book, fates, c.offset), Broken: audit.Count(breaches),
 		Breaches: breaches[:min(len(breaches), breachesKept)]}
+	if c.plan.Experiment.Fleet.Members {
+		audit.Views(c.plan, c.book, r.Figures)
+	}
 	r.Figures["lateness_p99_ms"] = c.load.Lateness(99).Seconds() * 1000
 	r.Figures["broken_rules"] = float64(len(breaches))
 	for name, n := range r.Broken {
