Cut, lose and turn one-way what goes between relays, and suspect for 3 s in any fleet

Needed to show what membership does where the network fails: the testbed had no fault between relays. A forwarder stands before each relay's gossip, TCP and UDP, with a path for every pair; cut, one-way and loss lie on these paths too. Figures: the share of relays that know of a split, the time until every view is whole after its heal, members that flap.

Seen on them: a member removed that had stood still for a second under 10% loss, a view that flapped twice under a one-way cut, and 7.0 s until a killed member was out of every view of 100. The library's suspicion grows with the logarithm of the fleet's size, 1.5 s for ten and 3.7 s for 300; it is 3 s in any fleet now. What changes is passed on to four others every 100 ms instead of three every 200 ms: sixty changes at once had waited for each other.

--- a/internal/membership/gossip/fleet.go
+++ b/internal/membership/gossip/fleet.go
@@ -11,6 +11,7 @@
 	"io"
 	"log"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -37,14 +38,15 @@
 	metaMost   = 256 // bytes of what a process tells of itself
 	nameMost   = 64
 
-	// The detector's pace. A member is looked at every probeEvery by somebody, and suspected for
-	// suspicion*max(1, log10(members))*probeEvery: 1.5 s in a fleet of ten and less, 3.7 s at 300. A pause of a second removes
-	// nobody.
+	// The detector's pace. A member is looked at every probeEvery by somebody, and has suspicion from then on to say that it
+	// is there, whatever the fleet's size: a pause of a second and a lost datagram or two remove nobody.
 	probeEvery = 500 * time.Millisecond
 	probeWait  = 250 * time.Millisecond
-	suspicion  = 3
-	gossipTo   = 3
-	gossipWait = 200 * time.Millisecond
+	suspicion  = 3 * time.Second
+	// What changes is passed on to so many others so often. At rest nothing is; where twenty members of a hundred end within
+	// a second, sixty messages have to go, eight to a packet and each a dozen times.
+	gossipTo   = 4
+	gossipWait = 100 * time.Millisecond
 	deadGossip = 10 * time.Second
 )
 
@@ -101,7 +103,7 @@
 		}
 		c.AdvertiseAddr = ahost
 	}
-	c.ProbeInterval, c.ProbeTimeout, c.SuspicionMult = probeEvery, probeWait, suspicion
+	c.ProbeInterval, c.ProbeTimeout, c.SuspicionMult = probeEvery, probeWait, multiple(cfg.Size)
 	c.SuspicionMaxTimeoutMult = 1 // more for a suspicion that nobody shares would be up to six times as long
 	c.GossipNodes, c.GossipInterval, c.GossipToTheDeadTime = gossipTo, gossipWait, deadGossip
 	c.DNSConfigPath = "/dev/null" // there is no DNS
@@ -129,6 +131,12 @@
 	return f, nil
 }
 
+// multiple is what the library multiplies its pace and the logarithm of the fleet's size by for the time of a suspicion.
+func multiple(size int) int {
+	scale := max(1, math.Log10(float64(max(1, size))))
+	return max(2, int(suspicion.Seconds()/(scale*probeEvery.Seconds())+0.5))
+}
+
 // nodeName is the library's name for a process: each has its own, so that the library never sees two under one.
 func nodeName(p membership.Process) string {
 	return fmt.Sprintf("%s/%x/%s", p.Name, p.Incarnation, p.Folder)
--- a/internal/testbed/audit/views.go
+++ b/internal/testbed/audit/views.go
@@ -21,7 +21,7 @@
 // Views adds what the relays saw of their fleet: how long a member that was killed, or left in order, stayed in the views of
 // those that lived on, in seconds; how long the start took until every view held all; how often a member was removed that
 // was there; and how many changes the busiest view had in 30 s.
-func Views(p *plan.Plan, l *ledger.Ledger, fig map[string]float64) {
+func Views(p *plan.Plan, l *ledger.Ledger, offset time.Duration, fig map[string]float64) {
 	by := map[int][]ledger.ViewChange{}
 	for _, v := range l.Views {
 		by[v.Relay] = append(by[v.Relay], v)
@@ -86,10 +86,20 @@
 		last = max(last, by[r][i].At)
 	}
 	fig["view_joined_s"], fig["views_never_whole"] = (last - ready).Seconds(), missing
+	split(p, by, offset, fig)
+	healing := func(at time.Duration) bool { // what comes back then has every reason to
+		return slices.ContainsFunc(p.Faults, func(f plan.Fault) bool {
+			return (f.Kind == "cut" || f.Kind == "one-way") && offset+f.At+f.For <= at && at <= offset+f.At+f.For+excuse
+		})
+	}
+	fig["view_flaps_30s"] = flaps(by, lives, index, healing)
 	false_, busiest := 0.0, 0
 	for r, vs := range by {
 		for i, v := range vs {
 			for _, name := range v.Gone {
+				if cutOff(p, offset, v.At) {
+					continue
+				}
 				if m := index[name]; whole(m, v.At-excuse, v.At) && whole(r, v.At-excuse, v.At) {
 					false_++
 				}
@@ -105,3 +115,82 @@
 	}
 	fig["false_removals"], fig["view_changes_30s"] = false_, float64(busiest)
 }
+
+// cutOff tells whether a fault between relays ran at a moment, or had just ended: who is gone then is gone for a reason.
+func cutOff(p *plan.Plan, offset, at time.Duration) bool {
+	return slices.ContainsFunc(p.Faults, func(f plan.Fault) bool {
+		return (f.Kind == "cut" || f.Kind == "one-way") && offset+f.At <= at && at <= offset+f.At+f.For+excuse
+	})
+}
+
+// split adds, for the last cut between relays, the share of the relays that said in its time that they are split or alone,
+// and the seconds from its end until every view held all again; as long as the run where one never did.
+func split(p *plan.Plan, by map[int][]ledger.ViewChange, offset time.Duration, fig map[string]float64) {
+	for _, f := range p.Faults {
+		if f.Kind != "cut" {
+			continue
+		}
+		from, to := offset+f.At, offset+f.At+f.For
+		said, healed := 0.0, time.Duration(0)
+		for r := range p.Relays {
+			whole, known := true, false
+			at := p.Length
+			for _, v := range by[r] {
+				if v.At > from && v.At <= to {
+					known = known || v.Agreement == "split" || v.Agreement == "alone"
+				}
+				if v.At <= to {
+					whole = v.Present == len(p.Relays)
+				} else if !whole && v.Present == len(p.Relays) {
+					whole, at = true, v.At-to
+				} else if v.Present < len(p.Relays) {
+					whole = false
+				}
+			}
+			if known {
+				said++
+			}
+			if !whole {
+				at = p.Length
+			} else if at == p.Length {
+				at = 0 // it was whole all the time
+			}
+			healed = max(healed, at)
+		}
+		fig["split_known"], fig["view_healed_s"] = said/float64(len(p.Relays)), healed.Seconds()
+	}
+}
+
+// flaps is how often, in any 30 s, a member came back into one view that had gone from it, without a new start of its own.
+func flaps(by map[int][]ledger.ViewChange, lives map[int][]*ledger.Life, index map[string]int, healing func(time.Duration) bool) float64 {
+	most := 0
+	for _, vs := range by {
+		gone, back := map[string]bool{}, map[string][]time.Duration{}
+		for _, v := range vs {
+			for _, name := range v.Gone {
+				gone[name] = true
+			}
+			for _, name := range v.Came {
+				began := slices.ContainsFunc(lives[index[name]], func(x *ledger.Life) bool {
+					return x.Start <= v.At && v.At <= x.Start+excuse
+				})
+				if gone[name] && !began && !healing(v.At) {
+					back[name] = append(back[name], v.At)
+				}
+				gone[name] = false
+			}
+		}
+		for _, at := range back {
+			for i := range at {
+				n := 0
+				for _, b := range at[i:] {
+					if b <= at[i]+30*time.Second {
+						n++
+					}
+				}
+				most = max(most, n)
+			}
+		}
+	}
+	return float64(most)
+}
--- /dev/null
+++ b/internal/testbed/audit/views_test.go
@@ -0,0 +1,40 @@
+package audit
+
+import (
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/testbed/ledger"
+	"onyxroad.dev/onyxroad/internal/testbed/plan"
+)
+
+func TestViews(t *testing.T) {
+	const s = time.Second
+	p := &plan.Plan{Length: 60 * s, Relays: []plan.Relay{{Name: "a"}, {Name: "b"}, {Name: "c"}},
+		Faults: []plan.Fault{{Kind: "cut", At: 30 * s, For: 10 * s}}}
+	life := func(r int, asked, end time.Duration, exit string) *ledger.Life {
+		return &ledger.Life{Relay: r, Ready: s, Asked: asked, End: end, Exit: exit}
+	}
+	l := &ledger.Ledger{Lives: []*ledger.Life{life(0, ledger.Never, ledger.Never, ""), life(1, ledger.Never, ledger.Never, ""),
+		life(2, 5*s, 5*s, "signal: killed")}}
+	see := func(r int, at time.Duration, present int, agreement string, came, gone []string) {
+		l.Views = append(l.Views, ledger.ViewChange{Relay: r, At: at, Present: present, Agreement: agreement, Came: came, Gone: gone})
+	}
+	for r := range 3 {
+		see(r, 2*s, 3, "settling", []string{"a", "b", "c"}, nil)
+	}
+	see(0, 8*s, 2, "settling", nil, []string{"c"})
+	see(1, 9*s, 2, "settling", nil, []string{"c"})
+	see(0, 20*s, 1, "alone", nil, []string{"b"}) // which is there
+	see(0, 21*s, 2, "settling", []string{"b"}, nil)
+	see(0, 33*s, 1, "alone", nil, []string{"b"}) // cut off
+	see(0, 45*s, 3, "settling", []string{"b", "c"}, nil)
+	fig := map[string]float64{}
+	Views(p, l, 0, fig)
+	for name, want := range map[string]float64{"view_killed_p99_s": 4, "view_left_p99_s": 0, "view_joined_s": 1, "views_never_whole": 0,
+		"false_removals": 1, "split_known": 1.0 / 3, "view_healed_s": 60, "view_flaps_30s": 1} {
+		if got := fig[name]; got < want-0.05 || got > want+0.05 {
+			t.Errorf("%s: %v, want %v", name, got, want)
+		}
+	}
+}
--- a/internal/testbed/experiment/experiment.go
+++ b/internal/testbed/experiment/experiment.go
@@ -167,9 +167,9 @@
 	"starve":    "relays share their core with one that takes all of it",
 	"roll":      "all relays are restarted in turn over For, every second one by SIGKILL",
 	"upgrade":   "all relays are replaced by hand-over in turn over For",
-	"cut":       "relays of a building and partners elsewhere hear nothing of each other for For",
+	"cut":       "relays of a building and partners and relays elsewhere hear nothing of each other for For",
 	"one-way":   "what relays of a building send elsewhere does not arrive for For",
-	"loss":      "Size of the segments between relays and partners are lost, and come again 200 ms later",
+	"loss":      "Size of the segments between relays and partners are lost, and come again 200 ms later; Size of the datagrams between relays",
 	"delay":     "Size times the delay between relays and partners",
 	"reset":     "Size of the calls have their connection reset once they are written",
 	"answers":   "Size of the answers get lost with their connection",
@@ -199,6 +199,13 @@
 	return slices.ContainsFunc(x.Faults, func(f Fault) bool { return f.Kind == "power" || strings.HasPrefix(f.Kind, "disk-") })
 }
 
+// GossipSuffers tells whether faults lie on the paths between relays that are members of their fleet.
+func (x *Experiment) GossipSuffers() bool {
+	return x.Fleet.Members && slices.ContainsFunc(x.Faults, func(f Fault) bool {
+		return slices.Contains([]string{"cut", "one-way", "loss"}, f.Kind)
+	})
+}
+
 // FaultNames are the kinds of fault in their order.
 func FaultNames() []string { return slices.Sorted(maps.Keys(FaultKinds)) }
 
--- a/internal/testbed/platform/platform.go
+++ b/internal/testbed/platform/platform.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -62,6 +63,9 @@
 // Gossip is where a relay finds others of its fleet, and they it.
 func (p *Ports) Gossip(r int) string { return join(relayIP(r, 1), p.base+portGossip) }
 
+// Outside is where the others find a relay's gossip: a forwarder, on whose paths faults lie.
+func (p *Ports) Outside(r int) string { return join(relayIP(r, 3), p.base+portGossip) }
+
 // Admin is the second address of a relay's process, which is another for each that is started.
 func (p *Ports) Admin(r, process int) string {
 	return join(relayIP(r, byte(10+process%200)), p.base+portAdmin)
@@ -94,6 +98,8 @@
 	mu      sync.Mutex
 	running []*plan.Fault
 	paths   map[pair]*network.Path
+	links   map[link]*network.Path // between relays
+	forward []*network.Forwarder
 	holes   map[pair]*network.Hole
 	servers []*server
 	slots   []int // calls out, by relay
@@ -106,6 +112,9 @@
 
 type pair struct{ relay, endpoint int }
 
+// link is the way from one relay to another.
+type link struct{ from, to int }
+
 // New starts the platform. Its time is the ledger's.
 func New(p *plan.Plan, book *ledger.Ledger, ports *Ports) (*Platform, error) {
 	if len(p.Relays) > MostRelays || len(p.Endpoints) > MostEndpoints {
@@ -115,7 +124,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &Platform{
 		plan: p, book: book, ports: ports, partners: newPartners(p, book), ctx: ctx, cancel: cancel,
-		paths: map[pair]*network.Path{}, holes: map[pair]*network.Hole{}, slots: make([]int, len(p.Relays)),
+		paths: map[pair]*network.Path{}, links: map[link]*network.Path{}, holes: map[pair]*network.Hole{}, slots: make([]int, len(p.Relays)),
 		sends: map[string]int{}, over: map[string]bool{},
 	}
 	for i := range p.Endpoints {
@@ -177,6 +186,10 @@
 	}
 	x.holes = map[pair]*network.Hole{}
 	x.mu.Unlock()
+	for _, f := range x.forward {
+		f.Close()
+	}
+	x.forward = nil
 	x.work.Wait()
 }
 
@@ -246,6 +259,14 @@
 			}
 		}
 	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for to, p := range x.links {
+		c := x.between(to)
+		for d := range c {
+			p.Change(network.Direction(d), func(old *network.Conditions) { *old = c[d] })
+		}
+	}
 	return nil
 }
 
@@ -307,6 +328,66 @@
 	return c
 }
 
+// OpenGossip puts a forwarder before every relay's gossip, so that what goes between two relays goes by a path of theirs.
+func (x *Platform) OpenGossip() error {
+	for r := range x.plan.Relays {
+		choose := func(from netip.AddrPort) *network.Path {
+			ip := from.Addr().Unmap().As4()
+			at := (int(ip[1])-16)*250 + int(ip[2]) - 1
+			if at < 0 || at >= len(x.plan.Relays) {
+				return nil
+			}
+			return x.link(link{at, r})
+		}
+		tcp := &network.Forwarder{Target: x.ports.Gossip(r), Choose: choose}
+		udp := &network.Forwarder{Target: x.ports.Gossip(r), Choose: choose}
+		if err := tcp.ForwardTCP(x.ports.Outside(r)); err != nil {
+			return err
+		}
+		x.forward = append(x.forward, tcp)
+		if err := udp.ForwardUDP(x.ports.Outside(r)); err != nil {
+			return err
+		}
+		x.forward = append(x.forward, udp)
+	}
+	return nil
+}
+
+// link is the path from one relay to another.
+func (x *Platform) link(to link) *network.Path {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.links[to]
+	if p == nil {
+		c := x.between(to)
+		p = network.NewPath(c[network.Out], x.plan.Seed+uint64(to.from)<<32+uint64(to.to))
+		p.Change(network.Back, func(old *network.Conditions) { *old = c[network.Back] })
+		x.links[to] = p
+	}
+	return p
+}
+
+// between are the conditions that the running faults make between two relays; with mu held.
+func (x *Platform) between(to link) (c [2]network.Conditions) {
+	base := network.Conditions{Delay: x.plan.Delays[x.plan.Relays[to.from].Building][x.plan.Relays[to.to].Building], Jitter: x.plan.Jitter}
+	c[network.Out], c[network.Back] = base, base
+	for _, f := range x.running {
+		from, into := slices.Contains(f.Relays, to.from), slices.Contains(f.Relays, to.to)
+		switch f.Kind {
+		case "cut":
+			c[network.Out].Cut, c[network.Back].Cut = c[network.Out].Cut || from != into, c[network.Back].Cut || from != into
+		case "one-way": // what those struck send elsewhere does not arrive
+			c[network.Out].Cut = c[network.Out].Cut || from && !into
+			c[network.Back].Cut = c[network.Back].Cut || into && !from
+		case "loss":
+			if from || into {
+				c[network.Out].Loss, c[network.Back].Loss = max(c[network.Out].Loss, f.Size), max(c[network.Back].Loss, f.Size)
+			}
+		}
+	}
+	return c
+}
+
 // path is the path from a relay to an endpoint.
 func (x *Platform) path(to pair) *network.Path {
 	x.mu.Lock()
--- a/internal/testbed/process/disk.go
+++ b/internal/testbed/process/disk.go
@@ -31,11 +31,16 @@
 		text += fmt.Sprintf("[state]\ndurability = %q\nmemories = %v\n", x.Fleet.State, x.Fleet.Memories)
 	}
 	if x.Fleet.Members {
+		at, more := f.ports.Gossip, ""
+		if x.GossipSuffers() {
+			at, more = f.ports.Outside, fmt.Sprintf("advertise = %q\n", f.ports.Outside(r))
+		}
 		seeds := make([]string, 0, 3)
 		for k := range min(3, len(f.plan.Relays)) {
-			seeds = append(seeds, fmt.Sprintf("%q", f.ports.Gossip(k)))
+			seeds = append(seeds, fmt.Sprintf("%q", at(k)))
 		}
-		text += fmt.Sprintf("[membership]\nfleet = \"testbed\"\nbind = %q\nseeds = [%s]\n", f.ports.Gossip(r), strings.Join(seeds, ", "))
+		text += fmt.Sprintf("[membership]\nfleet = \"testbed\"\nbind = %q\n%sseeds = [%s]\n", f.ports.Gossip(r), more,
+			strings.Join(seeds, ", "))
 	}
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("process: settings: %w", err)
--- a/internal/testbed/run/run.go
+++ b/internal/testbed/run/run.go
@@ -105,6 +105,11 @@
 		return nil, err
 	}
 	defer c.platform.Close()
+	if o.Experiment.GossipSuffers() {
+		if err := c.platform.OpenGossip(); err != nil {
+			return nil, err
+		}
+	}
 	c.fleet = process.New(p, c.book, ports, c.platform, o.Program, home)
 	defer c.fleet.Close()
 	c.load = load.New(p, c.book, ports.Relay, c.fleet.Alive)
@@ -239,7 +244,7 @@
 		Figures: audit.Figures(c.plan, c.book, fates, c.offset), Broken: audit.Count(breaches),
 		Breaches: breaches[:min(len(breaches), breachesKept)]}
 	if c.plan.Experiment.Fleet.Members {
-		audit.Views(c.plan, c.book, r.Figures)
+		audit.Views(c.plan, c.book, c.offset, r.Figures)
 	}
 	r.Figures["lateness_p99_ms"] = c.load.Lateness(99).Seconds() * 1000
 	r.Figures["broken_rules"] = float64(len(breaches))
