Read the place of an error in a TOML file in one place

Experiments use the settings' now; an arrow down, from the testbed to what it tests. Errors name file, line and key as before, by the tests of both.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -83,7 +83,7 @@
 func Parse(path string, data []byte) (s Settings, err error) {
 	d := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
 	if err := d.Decode(&s); err != nil {
-		return Settings{}, fmt.Errorf("%s%w", path, located(err))
+		return Settings{}, fmt.Errorf("%s%w", path, Located(err))
 	}
 	if err := s.check(); err != nil {
 		return Settings{}, fmt.Errorf("%s: %w", path, err)
@@ -91,8 +91,8 @@
 	return s, nil
 }
 
-// located puts line and key before what the library says of an error.
-func located(err error) error {
+// Located puts line and key before what the library says of an error.
+func Located(err error) error {
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) && len(strict.Errors) > 0 {
 		e := strict.Errors[0]
--- a/internal/testbed/experiment/experiment.go
+++ b/internal/testbed/experiment/experiment.go
@@ -18,6 +18,8 @@
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"onyxroad.dev/onyxroad/internal/settings"
 )
 
 // Experiment is one file.
@@ -227,7 +229,7 @@
 	x.Name = strings.TrimSuffix(filepath.Base(path), ".toml")
 	d := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
 	if err := d.Decode(x); err != nil {
-		return nil, fmt.Errorf("%s%w", path, located(err))
+		return nil, fmt.Errorf("%s%w", path, settings.Located(err))
 	}
 	if err := x.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
@@ -235,22 +237,6 @@
 	return x, nil
 }
 
-// located puts line and key before what the library says of an error.
-func located(err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		e := strict.Errors[0]
-		line, _ := e.Position()
-		return fmt.Errorf(":%d: unknown key %s", line, strings.Join(e.Key(), "."))
-	}
-	var dec *toml.DecodeError
-	if errors.As(err, &dec) {
-		line, _ := dec.Position()
-		return fmt.Errorf(":%d: %s: %w", line, strings.Join(dec.Key(), "."), err)
-	}
-	return fmt.Errorf(": %w", err)
-}
-
 // check tells what makes no sense.
 func (x *Experiment) check() error {
 	var errs []error
