Add stewards that agree on duties by raft, and the holder's side of them

Need: some work has to be done once for the fleet, with one holder at a time, an order among holders that can be checked, and a bounded time until another takes over. Every relay did everything.

Change: internal/duty has the table that stewards agree on (claim, release, step down; epochs over all duties that are never used again), the leader's leases, and the fence of what receives effects; none has a clock or I/O but the fence's file. steward puts them on hashicorp/raft with raft-boltdb: commands carry the term that they were decided in, renewals go by a leadership check and cost no disk, a steward is its folder (one that was emptied takes the old one's place, one that was put back to an earlier state is refused), and a lost majority is gone back from by a confirmed command that raises epochs. holder runs a function while a duty is held and counts from before it asked.

--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -97,6 +97,28 @@
 	return syncDir(d.path(name))
 }
 
+// Replace puts a file in its place whole, or leaves what was there: written beside, synced, renamed, with the folder synced.
+func Replace(fs FS, name string, data []byte) error {
+	temp := name + ".tmp"
+	f, err := fs.Open(temp)
+	if err != nil {
+		return err
+	}
+	if err = f.Truncate(0); err == nil {
+		_, err = f.WriteAt(data, 0)
+	}
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err != nil {
+		return err
+	}
+	if err := fs.Rename(temp, name); err != nil {
+		return err
+	}
+	return fs.SyncDir()
+}
+
 func (d Dir) SyncDir() error { return syncDir(string(d)) }
 
 func syncDir(path string) error {
--- /dev/null
+++ b/internal/duty/duty_test.go
@@ -0,0 +1,274 @@
+package duty
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var noon = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+const lease = 3 * time.Second
+
+func wish(holder, id string) []Wish { return []Wish{{Duty: "d", Holder: holder, ID: id, Lease: lease}} }
+
+// leader is a table with a leader that carries out what it picks at once.
+type leader struct {
+	*Leases
+	t *testing.T
+}
+
+func lead(t *testing.T) leader { return leader{NewLeases(NewTable(), 1, noon), t} }
+
+// claim has a wish fulfilled; the epoch, or 0.
+func (l leader) claim(holder, id string, now time.Time) uint64 {
+	c, i := l.Pick(wish(holder, id), now)
+	switch {
+	case i < 0:
+		return 0
+	case c.Op == "":
+		return l.table.Get("d").Epoch
+	}
+	return l.carry(c, now).Grant.Epoch
+}
+
+func (l leader) carry(c Command, now time.Time) Result {
+	l.t.Helper()
+	if !l.Begun(c) {
+		l.t.Fatal("busy")
+	}
+	res := l.table.Apply(c, l.Term)
+	l.Done(c, res, now)
+	return res
+}
+
+func TestALeaseRunsOutAndTheNextEpochIsHigher(t *testing.T) {
+	l := lead(t)
+	one := l.claim("a", "1", noon)
+	if one == 0 || l.claim("b", "2", noon) != 0 {
+		t.Fatalf("%d; or granted to two", one)
+	}
+	if again := l.claim("a", "1", noon); again != one {
+		t.Errorf("the same claim again is %d, not %d", again, one)
+	}
+	at := noon.Add(2 * time.Second)
+	if !l.Renew("d", one, "a", at) || l.Renew("d", one, "b", at) || l.Renew("d", one+1, "a", at) {
+		t.Error("renewed wrongly")
+	}
+	if got := l.Next(wish("b", "2"), at); !got.Equal(at.Add(lease)) {
+		t.Errorf("next at %v", got)
+	}
+	if l.claim("b", "2", at.Add(lease-1)) != 0 {
+		t.Error("granted before the lease's end")
+	}
+	if l.Renew("d", one, "a", at.Add(lease)) {
+		t.Error("renewed after its end")
+	}
+	two := l.claim("b", "2", at.Add(lease))
+	if two <= one || l.Renew("d", one, "a", at.Add(lease)) {
+		t.Errorf("epoch %d after %d", two, one)
+	}
+	// A claim that is over is not granted once more, however late its repeat comes.
+	c := Command{Op: Claim, Term: 1, Duty: "d", After: two, Holder: "a", ID: "1", Lease: lease}
+	if res := l.table.Apply(c, 1); !errors.Is(res.Err, ErrOver) {
+		t.Errorf("late repeat: %v", res.Err)
+	}
+}
+
+func TestANewLeaderBeginsLeasesAnew(t *testing.T) {
+	l := lead(t)
+	one := l.claim("a", "1", noon)
+	l.Renew("d", one, "a", noon.Add(time.Second))
+	next := leader{NewLeases(l.table, 2, noon.Add(2*time.Second)), t}
+	if next.claim("b", "2", noon.Add(4900*time.Millisecond)) != 0 {
+		t.Error("granted within a lease of the reign's begin")
+	}
+	// What the old leader had decided on does nothing.
+	res := l.table.Apply(Command{Op: Claim, Term: 1, Duty: "d", After: one, Holder: "c", ID: "3", Lease: lease}, 2)
+	if !errors.Is(res.Err, ErrStale) {
+		t.Errorf("%v", res.Err)
+	}
+	if next.claim("b", "2", noon.Add(5*time.Second)) == 0 {
+		t.Error("never granted")
+	}
+}
+
+func TestSteppingDown(t *testing.T) {
+	l := lead(t)
+	one := l.claim("a", "1", noon)
+	if !l.Ask("d", Ask{To: "c", Bar: time.Minute, At: noon}) || !l.Asked("d", one) {
+		t.Fatal("not asked")
+	}
+	// It keeps the duty until it has given it up, for a lease at most.
+	if !l.Renew("d", one, "a", noon.Add(time.Second)) || l.claim("b", "2", noon.Add(time.Second)) != 0 {
+		t.Error("taken before it was given up")
+	}
+	if l.Renew("d", one, "a", noon.Add(lease)) {
+		t.Error("renewed although its time to step down is over")
+	}
+	if res := l.carry(l.End("d", one, "a", ""), noon.Add(time.Second)); res.Err != nil || res.Grant.To != "c" {
+		t.Fatalf("%+v", res)
+	}
+	at := noon.Add(time.Second)
+	if l.claim("b", "2", at) != 0 || l.claim("a", "3", at) != 0 {
+		t.Error("granted to another than the one that it was handed to")
+	}
+	if two := l.claim("c", "4", at); two <= one {
+		t.Errorf("handed on: epoch %d", two)
+	}
+	l.carry(l.End("d", l.table.Get("d").Epoch, "c", ""), at)
+	if l.claim("a", "5", noon.Add(59*time.Second)) != 0 || l.claim("a", "5", noon.Add(62*time.Second)) == 0 {
+		t.Error("the bar does not hold for its time")
+	}
+	// One that was handed to nobody who comes is anybody's after a while.
+	e := l.table.Get("d").Epoch
+	l.carry(l.End("d", e, "a", "gone"), noon.Add(70*time.Second))
+	if l.claim("b", "6", noon.Add(70*time.Second)) != 0 || l.claim("b", "6", noon.Add(70*time.Second+handOnFor)) == 0 {
+		t.Error("waits for who never comes")
+	}
+}
+
+func TestADutyThatKillsItsHoldersPauses(t *testing.T) {
+	l := lead(t)
+	now := noon
+	var waits []time.Duration
+	for i := range 6 {
+		began := now
+		for l.claim(fmt.Sprint("h", i), fmt.Sprint("c", i), now) == 0 {
+			now = l.Next(wish("x", "x"), now)
+		}
+		waits = append(waits, now.Sub(began))
+	}
+	if fmt.Sprint(waits) != "[0s 3s 3s 6s 9s 15s]" {
+		t.Errorf("waits %v", waits)
+	}
+	// One that holds it for long, and lets it go in order, ends that.
+	e := l.table.Get("d").Epoch
+	l.carry(l.End("d", e, "h5", ""), now)
+	if got := l.table.Get("d").Quick; got != 0 {
+		t.Errorf("still %d", got)
+	}
+}
+
+func TestEpochsAreNeverUsedAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable()
+		holders := map[uint64]string{}
+		last := uint64(0)
+		for range 60 {
+			d := fmt.Sprint("d", rapid.IntRange(0, 2).Draw(t, "duty"))
+			h := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "holder")
+			after := table.Get(d).Epoch
+			if rapid.IntRange(0, 5).Draw(t, "stale") == 0 {
+				after /= 2
+			}
+			op := rapid.SampledFrom([]Op{Claim, Claim, Release, StepDown, Raise}).Draw(t, "op")
+			if op == Raise {
+				after = last + uint64(rapid.IntRange(0, 9).Draw(t, "by"))
+			}
+			res := table.Apply(Command{Op: op, Term: 1, Duty: d, After: after, Holder: h, ID: fmt.Sprint(rapid.IntRange(0, 40).Draw(t, "id")),
+				Lease: lease, Bar: time.Second, Lift: true}, 1)
+			if op == Claim && res.Err == nil {
+				e := res.Grant.Epoch
+				if was, ok := holders[e]; ok && was != d+h {
+					t.Fatalf("epoch %d of %s and %s", e, was, d+h)
+				} else if !ok && e <= last {
+					t.Fatalf("epoch %d after %d", e, last)
+				}
+				holders[e], last = d+h, max(last, e)
+			}
+			last = max(last, table.Last())
+			if rapid.IntRange(0, 9).Draw(t, "snapshot") == 0 {
+				data, err := table.Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if table, err = Decode(data); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	})
+}
+
+func TestNothingMakesTheTableGrow(t *testing.T) {
+	table := NewTable()
+	for i := range 2 * DutiesMost {
+		d := fmt.Sprint("d", i)
+		if res := table.Apply(Command{Op: Claim, Duty: d, Holder: "a", ID: "1", Lease: lease}, 0); res.Err != nil {
+			t.Fatal(res.Err)
+		}
+		e := table.Get(d).Epoch
+		if i%2 == 0 {
+			table.Apply(Command{Op: StepDown, Duty: d, After: e, Holder: "a", Bar: time.Second}, 0)
+		} else {
+			table.Apply(Command{Op: Release, Duty: d, After: e, Holder: "a"}, 0)
+		}
+	}
+	if n := len(table.All()); n != DutiesMost {
+		t.Errorf("%d duties", n)
+	}
+	for i := range 100 {
+		g := table.Get("x")
+		table.Apply(Command{Op: Claim, Duty: "x", After: g.Epoch, Holder: fmt.Sprint(i), ID: fmt.Sprint(i), Lease: lease}, 0)
+		table.Apply(Command{Op: StepDown, Duty: "x", After: table.Get("x").Epoch, Bar: time.Second}, 0)
+	}
+	if g := table.Get("x"); len(g.Bars) > barsMost || len(g.Ended) > endedMost {
+		t.Errorf("%d bars, %d ended claims", len(g.Bars), len(g.Ended))
+	}
+}
+
+func TestFence(t *testing.T) {
+	dir := t.TempDir()
+	f, err := OpenFence(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(f.Pass("d", 5), f.Pass("d", 5), f.Pass("other", 2)); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Pass("d", 4); !errors.Is(err, ErrFenced) {
+		t.Errorf("an older epoch: %v", err)
+	}
+	if f, err = OpenFence(dir); err != nil || f.Seen("d") != 5 {
+		t.Fatalf("after a restart: %d, %v", f.Seen("d"), err)
+	}
+	if err := f.Pass("d", 4); !errors.Is(err, ErrFenced) {
+		t.Errorf("an older epoch after a restart: %v", err)
+	}
+	for i := range FenceMost {
+		f.Pass(fmt.Sprint(i), 1)
+	}
+	if err := f.Pass("one more", 1); err == nil || errors.Is(err, ErrFenced) {
+		t.Errorf("one duty too many: %v", err)
+	}
+	// What can't be kept is not taken.
+	os.RemoveAll(dir)
+	if err := f.Pass("d", 6); err == nil || f.Seen("d") != 5 {
+		t.Errorf("taken without being kept: %v, %d", err, f.Seen("d"))
+	}
+	os.MkdirAll(dir, 0o700)
+	os.WriteFile(filepath.Join(dir, fenceName), []byte("{torn"), 0o600)
+	if _, err := OpenFence(dir); err == nil {
+		t.Error("a file that can't be read is no error")
+	}
+}
+
+func TestCheckName(t *testing.T) {
+	for _, ok := range []string{"fleet-figures", "watch/7", "n3.17"} {
+		if err := CheckName(ok); err != nil {
+			t.Errorf("%q: %v", ok, err)
+		}
+	}
+	for _, bad := range []string{"", "a b", "a\nb", strings.Repeat("x", NameMost+1), "\x7f"} {
+		if CheckName(bad) == nil {
+			t.Errorf("%q is a name", bad)
+		}
+	}
+}
--- /dev/null
+++ b/internal/duty/steward/recover.go
@@ -0,0 +1,142 @@
+package steward
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+
+	crand "crypto/rand"
+
+	"github.com/hashicorp/raft"
+
+	"onyxroad.dev/onyxroad/internal/duty"
+)
+
+// Found is what a stopped steward's folder holds.
+type Found struct {
+	ID       string
+	Cluster  string
+	Era      uint64
+	Stewards []string // by the last configuration that the folder knows
+	Last     uint64   // highest epoch that the folder knows
+	Duties   []duty.Grant
+	Index    uint64 // last entry of the log
+}
+
+// Words say what the folder holds and what going on with it alone means.
+func (f *Found) Words() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "Folder of steward %s, cluster %s, era %d, with %d entries.\n", f.ID, f.Cluster, f.Era, f.Index)
+	fmt.Fprintf(&b, "It knows %d stewards: %s.\n", len(f.Stewards), strings.Join(f.Stewards, ", "))
+	fmt.Fprintf(&b, "It knows of %d duties and of epochs up to %d.\n", len(f.Duties), f.Last)
+	b.WriteString("Going on with it alone means:\n")
+	fmt.Fprintf(&b, "- What the others agreed on and this folder has not heard is lost: grants, hand-overs, stewards that came or went.\n")
+	fmt.Fprintf(&b, "- Epochs go on above %d, so that no effect of a lost grant is taken after one of a new grant.\n", f.Last+raiseBy)
+	b.WriteString("- Holders lose their duties, and get them, or others do, once the stewards are there again.\n")
+	b.WriteString("- The other stewards are no part of it: stop them first, empty their folders, and start them again to join.\n")
+	b.WriteString("  One that runs on keeps to the cluster that is given up; relays that have heard of the new one ignore it.\n")
+	return b.String()
+}
+
+// Inspect reads a stopped steward's folder. It changes nothing but the count of starts.
+func Inspect(cfg Config) (*Found, error) { return look(cfg, false) }
+
+// Recover makes a stopped steward's folder the only one of a cluster of a new era: the way back from a lost majority.
+func Recover(cfg Config) (*Found, error) { return look(cfg, true) }
+
+func look(cfg Config, change bool) (found *Found, err error) {
+	id, err := identify(cfg.Dir, cfg.Name)
+	if err != nil {
+		return nil, err
+	}
+	if id.kept.Cluster == "" {
+		return nil, errors.New("steward: this folder never belonged to a cluster")
+	}
+	store, err := openStore(cfg.Dir)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, store.Close()) }()
+	log := libraryLog(slog.New(slog.DiscardHandler))
+	snaps, err := raft.NewFileSnapshotStoreWithLogger(cfg.Dir, snapshotsKept, log)
+	if err != nil {
+		return nil, fmt.Errorf("steward: %w", err)
+	}
+	_, trans := raft.NewInmemTransport("")
+	defer trans.Close()
+	s := &Steward{cfg: cfg, id: id, table: duty.NewTable(), leads: make(chan bool, 1), store: store}
+	c := s.raftConfig(log)
+	c.LocalID = raft.ServerID(id.ID())
+	now, err := raft.GetConfiguration(c, (*machine)(s), store, store, snaps, trans)
+	if err != nil {
+		return nil, fmt.Errorf("steward: %w", err)
+	}
+	found = &Found{ID: id.ID(), Cluster: id.kept.Cluster, Era: id.kept.Era}
+	for _, x := range now.Servers {
+		found.Stewards = append(found.Stewards, string(x.ID))
+	}
+	if found.Index, err = store.LastIndex(); err != nil {
+		return nil, fmt.Errorf("steward: %w", err)
+	}
+	if err := s.replay(snaps); err != nil {
+		return nil, err
+	}
+	found.Last, found.Duties = s.table.Last(), s.table.All()
+	if !change {
+		return found, nil
+	}
+	if cfg.API == "" || cfg.Listen == "" {
+		return nil, errors.New("steward: its addresses have to be known")
+	}
+	// The new identity first: a stop in between leaves a folder that only this can go on with.
+	id.kept.Cluster, id.kept.Era, id.kept.Raise = crand.Text()[:12], id.kept.Era+1, found.Last+raiseBy
+	if err := id.keep(); err != nil {
+		return nil, err
+	}
+	s.table = duty.NewTable()
+	err = raft.RecoverCluster(c, (*machine)(s), store, store, snaps, trans,
+		raft.Configuration{Servers: []raft.Server{{ID: raft.ServerID(id.ID()), Address: s.address()}}})
+	if err != nil {
+		return nil, fmt.Errorf("steward: %w", err)
+	}
+	return found, id.forget(func(string) bool { return false })
+}
+
+// replay works out the table from the last snapshot and every entry of the log: what was not agreed on yet counts too, since
+// the others may have agreed on it.
+func (s *Steward) replay(snaps raft.SnapshotStore) error {
+	all, err := snaps.List()
+	if err != nil {
+		return fmt.Errorf("steward: %w", err)
+	}
+	from := uint64(1)
+	if len(all) > 0 {
+		meta, r, err := snaps.Open(all[0].ID)
+		if err != nil {
+			return fmt.Errorf("steward: %w", err)
+		}
+		if err := (*machine)(s).Restore(r); err != nil {
+			return err
+		}
+		from = meta.Index + 1
+	}
+	first, err := s.store.FirstIndex()
+	if err != nil {
+		return fmt.Errorf("steward: %w", err)
+	}
+	last, err := s.store.LastIndex()
+	if err != nil {
+		return fmt.Errorf("steward: %w", err)
+	}
+	for i := max(from, first, 1); i <= last; i++ {
+		var l raft.Log
+		if err := s.store.GetLog(i, &l); err != nil {
+			return fmt.Errorf("steward: entry %d: %w", i, err)
+		}
+		if l.Type == raft.LogCommand {
+			(*machine)(s).Apply(&l)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/duty/steward/steward_test.go
@@ -0,0 +1,408 @@
+package steward
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"onyxroad.dev/onyxroad/internal/duty/call"
+	"onyxroad.dev/onyxroad/internal/duty/holder"
+)
+
+// one is a steward that runs in the test.
+type one struct {
+	*Steward
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	err    error
+}
+
+func startOne(t *testing.T, name, dir string, seeds ...string) *one {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Open(Config{Name: name, Fleet: "test", Listen: "127.0.0.1:0", API: l.Addr().String(), Dir: dir, Seeds: seeds,
+		Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		l.Close()
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	x := &one{Steward: s, cancel: cancel}
+	x.done.Go(func() { x.err = s.Run(ctx); cancel() })
+	x.done.Go(func() { s.Serve(ctx, l) })
+	return x
+}
+
+func (x *one) stop() error {
+	x.cancel()
+	x.done.Wait()
+	return x.err
+}
+
+// eventually waits for something that is bound to come.
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	for !f() {
+		select {
+		case <-ctx.Done():
+			t.Fatal("never: " + what)
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func begun(t *testing.T, n int) (all []*one, client *call.Client) {
+	t.Helper()
+	first := startOne(t, "s0", t.TempDir())
+	all = append(all, first)
+	client = call.NewClient([]string{first.cfg.API}, nil)
+	t.Cleanup(client.Close)
+	if _, err := client.One(t.Context(), first.cfg.API, call.PathBegin, call.Done{}, &call.JoinOut{}, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	for i := 1; i < n; i++ {
+		all = append(all, startOne(t, fmt.Sprint("s", i), t.TempDir(), first.cfg.API))
+	}
+	eventually(t, "all have joined", func() bool { return len(list(t, client, first.cfg.API)) == n })
+	return all, client
+}
+
+func list(t *testing.T, c *call.Client, addr string) []call.Steward {
+	var out call.StewardsOut
+	if _, err := c.One(t.Context(), addr, call.PathStewards, nil, &out, time.Second); err != nil {
+		return nil
+	}
+	return out.Stewards
+}
+
+func claim(t *testing.T, c *call.Client, holder, id string) uint64 {
+	t.Helper()
+	var out call.ClaimOut
+	in := call.ClaimIn{Holder: holder, WaitMS: 10000, Wishes: []call.Wish{{Duty: "d", ID: id, LeaseMS: 3000}}}
+	if err := c.Do(t.Context(), call.PathClaim, in, &out, 10*time.Second); err != nil || len(out.Granted) != 1 {
+		t.Fatalf("claim of %s: %+v, %v", holder, out, err)
+	}
+	return out.Granted[0].Epoch
+}
+
+func TestThreeStewardsOutliveTheirLeader(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	all, c := begun(t, 3)
+	client := call.NewClient([]string{all[0].cfg.API, all[1].cfg.API, all[2].cfg.API}, nil)
+	defer client.Close()
+	defer c.Close()
+	one := claim(t, client, "a", "1")
+	// Any steward answers, or names the leader.
+	for _, s := range all {
+		eventually(t, s.cfg.Name+" knows the leader", func() bool {
+			leader, err := client.One(t.Context(), s.cfg.API, call.PathDuties, nil, &call.DutiesOut{}, time.Second)
+			return err == nil || leader != ""
+		})
+	}
+	for i, s := range all {
+		s.mu.Lock()
+		leads := s.current() != nil
+		s.mu.Unlock()
+		if leads {
+			if err := s.stop(); err != nil {
+				t.Error(err)
+			}
+			all = append(all[:i:i], all[i+1:]...)
+			break
+		}
+	}
+	if again := claim(t, client, "a", "1"); again != one {
+		t.Errorf("the same claim at the next leader is %d, not %d", again, one)
+	}
+	var out call.RenewOut
+	in := call.RenewIn{Holder: "a", Held: []call.Held{{Duty: "d", Epoch: one}, {Duty: "d", Epoch: one + 7}}}
+	if err := client.Do(t.Context(), call.PathRenew, in, &out, 0); err != nil || !out.Held[0].OK || out.Held[1].OK {
+		t.Errorf("renewed at the next leader: %+v, %v", out, err)
+	}
+	if err := client.Do(t.Context(), call.PathRelease, call.ReleaseIn{Holder: "a", Duty: "d", Epoch: one}, &call.Done{}, 0); err != nil {
+		t.Error(err)
+	}
+	if two := claim(t, client, "b", "2"); two <= one {
+		t.Errorf("epoch %d after %d", two, one)
+	}
+	for _, s := range all {
+		s.stop()
+	}
+}
+
+func TestAnEmptiedFolderIsAnotherSteward(t *testing.T) {
+	all, client := begun(t, 3)
+	defer func() {
+		for _, s := range all {
+			s.stop()
+		}
+	}()
+	old := all[2].id.ID()
+	all[2].stop()
+	all[2] = startOne(t, "s2", t.TempDir(), all[0].cfg.API, all[1].cfg.API)
+	eventually(t, "the new one has the old one's place", func() bool {
+		ids := ""
+		for _, s := range list(t, client, all[0].cfg.API) {
+			ids += s.ID + " "
+		}
+		return strings.Count(ids, "s2/") == 1 && !strings.Contains(ids, old) && strings.Contains(ids, all[2].id.ID())
+	})
+	// Under a name that serves there is no second one.
+	twin := startOne(t, "s1", t.TempDir(), all[0].cfg.API)
+	defer twin.stop()
+	var no *call.Refusal
+	eventually(t, "the twin is refused", func() bool {
+		err := client.Do(t.Context(), call.PathJoin, call.JoinIn{ID: twin.id.ID(), Listen: twin.cfg.Listen, API: twin.cfg.API, Fleet: "test"},
+			&call.JoinOut{}, 5*time.Second)
+		return errors.As(err, &no) && no.Status == http.StatusConflict
+	})
+	// One that is removed ends.
+	if err := client.Do(t.Context(), call.PathRemove, call.RemoveIn{ID: "s2"}, &call.Done{}, 5*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	all[2].done.Wait()
+	if !errors.Is(all[2].err, ErrRemoved) {
+		t.Errorf("ended with %v", all[2].err)
+	}
+	all = all[:2]
+}
+
+func TestAnOlderFolderTakesNoPart(t *testing.T) {
+	x, err := identify(t.TempDir(), "a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := x.belong("c", 1); err != nil {
+		t.Fatal(err)
+	}
+	h := hello{From: "b/1", Cluster: "c", start: start{5, "boot"}, progress: progress{3, 40}}
+	if err := errors.Join(x.meet(h), x.meet(h)); err != nil {
+		t.Fatal(err)
+	}
+	for _, bad := range []hello{{From: "b/1", Cluster: "c", start: start{4, "other"}}, {From: "b/1", Cluster: "c", start: start{5, "other"}}} {
+		if err := x.meet(bad); !errors.Is(err, errOlder) {
+			t.Errorf("%+v: %v", bad, err)
+		}
+	}
+	// A copy that was made while the last process ran, and put back after it: only what it has acknowledged tells.
+	x.heard("b/1", progress{3, 41})
+	for _, p := range []progress{{3, 40}, {2, 50}} {
+		if err := x.meet(hello{From: "b/1", Cluster: "c", start: start{6, "next"}, progress: p}); !errors.Is(err, errOlder) {
+			t.Errorf("%+v after term 3 and entry 41: %v", p, err)
+		}
+	}
+	if err := x.meet(hello{From: "b/1", Cluster: "z", start: start{9, "x"}}); err == nil {
+		t.Error("of another cluster")
+	}
+	// It is known after a restart too, and the folder of one steward is no other's.
+	y, err := identify(x.dir, "a")
+	if err != nil || y.kept.Starts != 2 {
+		t.Fatalf("%+v, %v", y, err)
+	}
+	if err := y.meet(hello{From: "b/1", Cluster: "c", start: start{4, "other"}}); !errors.Is(err, errOlder) {
+		t.Errorf("after a restart: %v", err)
+	}
+	if _, err := identify(x.dir, "b"); err == nil {
+		t.Error("another's folder")
+	}
+	os.Remove(filepath.Join(x.dir, identityName))
+	os.WriteFile(filepath.Join(x.dir, logName), nil, 0o600)
+	if _, err := identify(x.dir, "a"); err == nil {
+		t.Error("a log without an identity")
+	}
+}
+
+func TestAHolderHandsOnAtOnce(t *testing.T) {
+	all, client := begun(t, 1)
+	defer all[0].stop()
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	began := make(chan string, 16)
+	start := func(name string) *holder.Holder {
+		h := holder.New(holder.Config{Client: client, Name: name, Lease: time.Minute, Log: slog.New(slog.DiscardHandler)})
+		h.Want("d", func(ctx context.Context, term *holder.Term) error {
+			began <- fmt.Sprintf("%s %v %v", name, term.Epoch > 0, term.Valid())
+			<-ctx.Done()
+			return nil
+		})
+		running.Go(func() { h.Run(ctx) })
+		return h
+	}
+	start("a")
+	if got := <-began; got != "a true true" {
+		t.Fatal(got)
+	}
+	start("b")
+	eventually(t, "b waits", func() bool {
+		var out call.DutiesOut
+		return client.Do(t.Context(), call.PathDuties, nil, &out, 0) == nil && out.Duties[0].Waiting == 1
+	})
+	// With a lease of a minute, only a word in order hands it on within the test.
+	if err := client.Do(t.Context(), call.PathStepDown, call.StepDownIn{Duty: "d", BarMS: 3600000}, &call.Duty{}, call.WaitMost); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-began; got != "b true true" {
+		t.Fatal(got)
+	}
+}
+
+func TestGoingOnAloneRaisesEpochs(t *testing.T) {
+	dir := t.TempDir()
+	x := startOne(t, "s0", dir)
+	client := call.NewClient([]string{x.cfg.API}, nil)
+	defer client.Close()
+	if _, err := client.One(t.Context(), x.cfg.API, call.PathBegin, call.Done{}, &call.JoinOut{}, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	y := startOne(t, "s1", t.TempDir(), x.cfg.API)
+	eventually(t, "two stewards", func() bool { return len(list(t, client, x.cfg.API)) == 2 })
+	before := claim(t, client, "a", "1")
+	y.stop()
+	x.stop()
+	cfg := x.cfg
+	found, err := Inspect(cfg)
+	if err != nil || len(found.Stewards) != 2 || found.Last != before || !strings.Contains(found.Words(), "lost") {
+		t.Fatalf("%+v, %v", found, err)
+	}
+	if _, err := Recover(cfg); err != nil {
+		t.Fatal(err)
+	}
+	x = startOne(t, "s0", dir)
+	defer x.stop()
+	again := call.NewClient([]string{x.cfg.API}, nil)
+	defer again.Close()
+	if e := claim(t, again, "b", "2"); e <= before+raiseBy {
+		t.Errorf("epoch %d after %d", e, before)
+	}
+	if _, era := x.id.cluster(); era != 2 {
+		t.Errorf("era %d", era)
+	}
+	// A client that has heard of the new era ignores stewards of the one before.
+	if _, err := again.One(t.Context(), x.cfg.API, call.PathStewards, nil, &call.StewardsOut{}, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	old := startOne(t, "s1", y.cfg.Dir)
+	defer old.stop()
+	if _, err := again.One(t.Context(), old.cfg.API, call.PathStewards, nil, &call.StewardsOut{}, time.Second); err == nil {
+		t.Error("a steward that was given up is listened to")
+	}
+}
+
+// requests are texts that a caller may send, each with the status that it is owed at the least.
+var requests = []struct{ path, body string }{
+	{call.PathClaim, ``}, {call.PathClaim, `{`}, {call.PathClaim, `{"holder":"a"}`}, {call.PathClaim, `{"holder":"a b","wishes":[]}`},
+	{call.PathClaim, `{"holder":"a","wishes":[{"duty":"d","id":"1","lease_ms":1}]}`},
+	{call.PathClaim, `{"holder":"a","wishes":[{"duty":"d","id":"1","lease_ms":3000},{"duty":"d","id":"2","lease_ms":3000}]}`},
+	{call.PathClaim, `{"holder":"a","wait_ms":999999,"wishes":[{"duty":"d","id":"1","lease_ms":3000}]}`},
+	{call.PathClaim, `{"holder":"a","more":1}`}, {call.PathClaim, `{} {}`}, {call.PathClaim, `[]`},
+	{call.PathRenew, `{"holder":""}`}, {call.PathRelease, `{"holder":"a","duty":""}`}, {call.PathRelease, `{"holder":"a","duty":"d","to":"\n"}`},
+	{call.PathWatch, `{"holder":"a","wait_ms":-1}`}, {call.PathStepDown, `{"duty":"d","bar_ms":-5}`}, {call.PathJoin, `{"id":"x"}`},
+	{call.PathJoin, `{"id":"x/y","listen":"no","api":"no"}`}, {call.PathRemove, `{"id":"nobody"}`}, {call.PathBegin, `{}`},
+}
+
+func TestBadRequestsGetA4xx(t *testing.T) {
+	all, _ := begun(t, 1)
+	defer all[0].stop()
+	post := func(path, body string) int {
+		res, err := http.Post("http://"+all[0].cfg.API+path, "application/json", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer res.Body.Close()
+		io.Copy(io.Discard, res.Body)
+		return res.StatusCode
+	}
+	eventually(t, "it leads", func() bool {
+		all[0].mu.Lock()
+		defer all[0].mu.Unlock()
+		return all[0].current() != nil
+	})
+	for _, r := range requests {
+		if status := post(r.path, r.body); status < 400 || status > 499 {
+			t.Errorf("%s %.60s: %d", r.path, r.body, status)
+		}
+	}
+	if status := post(call.PathClaim, `{"holder":"`+strings.Repeat("a", 2*call.BodyMost)+`"}`); status != http.StatusRequestEntityTooLarge {
+		t.Errorf("too long: %d", status)
+	}
+	if status := post("/v1/nothing", ""); status != http.StatusNotFound {
+		t.Errorf("no such call: %d", status)
+	}
+	// A stranger at the stewards' own address is let go.
+	c, err := net.Dial("tcp", all[0].cfg.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "GET / HTTP/1.1\r\n\r\n")
+	c.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if data, err := io.ReadAll(c); err != nil || !bytes.Contains(data, []byte("error")) {
+		t.Errorf("a stranger hears %q, %v", data, err)
+	}
+}
+
+func FuzzRequest(f *testing.F) {
+	for _, r := range requests {
+		f.Add(r.path, []byte(r.body))
+	}
+	f.Add(call.PathClaim, []byte(`{"holder":"a","wishes":[{"duty":"d","id":"1","lease_ms":3000}]}`))
+	s, err := Open(Config{Name: "s0", Fleet: "test", Listen: "127.0.0.1:0", API: "127.0.0.1:1", Dir: f.TempDir(), Log: slog.New(slog.DiscardHandler)})
+	if err != nil {
+		f.Fatal(err)
+	}
+	h := s.handler()
+	f.Fuzz(func(t *testing.T, path string, body []byte) {
+		if !strings.HasPrefix(path, "/v1/") || path == call.PathBegin {
+			path = call.PathClaim
+		}
+		req, err := http.NewRequest(http.MethodPost, "http://x"+path, bytes.NewReader(body))
+		if err != nil {
+			t.Skip()
+		}
+		w := &answerTo{header: http.Header{}}
+		h.ServeHTTP(w, req)
+		// It does not lead: what makes sense gets a 503, everything else a 4xx.
+		if w.status != http.StatusServiceUnavailable && (w.status < 400 || w.status > 499) {
+			t.Errorf("%s %q: %d", path, body, w.status)
+		}
+		var x call.Failure
+		if w.header.Get("Content-Type") == "application/json" && json.Unmarshal(w.body.Bytes(), &x) != nil {
+			t.Errorf("%s: answers %q", path, w.body.Bytes())
+		}
+	})
+}
+
+type answerTo struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+func (w *answerTo) Header() http.Header { return w.header }
+func (w *answerTo) WriteHeader(s int) {
+	if w.status == 0 {
+		w.status = s
+	}
+}
+func (w *answerTo) Write(p []byte) (int, error) { w.WriteHeader(http.StatusOK); return w.body.Write(p) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -25,6 +25,27 @@
 	State     *State     `toml:"state"`      // none: the state folder is kept in one file, as ever
 
 	Membership *Membership `toml:"membership"` // none: the relay knows nothing of others
+	Duties     *Duties     `toml:"duties"`     // none: the relay holds none
+	Steward    *Steward    `toml:"steward"`    // of a steward alone
+}
+
+// Duties is the relay's part in what one process of the fleet does at a time.
+type Duties struct {
+	Stewards []string `toml:"stewards"` // hosts and ports of their APIs
+	Lease    Duration `toml:"lease"`    // for which a duty is held without a word of its holder, 0.5 s to 5 min; 3 s by default
+	Figures  bool     `toml:"figures"`  // it may add up the fleet's figures
+}
+
+// Steward is one of the stewards.
+type Steward struct {
+	Name         string   `toml:"name"`
+	Fleet        string   `toml:"fleet"`         // the fleet's label
+	Listen       string   `toml:"listen"`        // host and port for the other stewards
+	Advertise    string   `toml:"advertise"`     // where they find it, if not at listen
+	API          string   `toml:"api"`           // host and port for relays, tools and operators
+	AdvertiseAPI string   `toml:"advertise_api"` // where they find it, if not at api
+	Dir          string   `toml:"dir"`           // the folder that lasts
+	Seeds        []string `toml:"seeds"`         // hosts and ports of other stewards' APIs, to join by
 }
 
 // Membership is the relay's part in its fleet.
@@ -141,15 +162,64 @@
 				if key == "advertise" && a == "" {
 					continue
 				}
-				if _, err := netip.ParseAddrPort(a); err != nil {
-					errs = append(errs, fmt.Errorf("membership.%s: %q is not an IP address with a port", key, a))
-				}
+				errs = append(errs, addresses("membership."+key, a)...)
 			}
 		}
 	}
+	if d := s.Duties; d != nil {
+		if len(d.Stewards) == 0 {
+			errs = append(errs, errors.New("duties.stewards: name one at least"))
+		}
+		errs = append(errs, addresses("duties.stewards", d.Stewards...)...)
+		if d.Lease == 0 {
+			d.Lease = Duration(3 * time.Second)
+		}
+		if l := time.Duration(d.Lease); l < 500*time.Millisecond || l > 5*time.Minute {
+			errs = append(errs, fmt.Errorf("duties.lease: %v is not between 500ms and 5m", l))
+		}
+		if s.Membership == nil {
+			errs = append(errs, errors.New("duties: a relay that takes part is a member of its fleet: [membership] is missing"))
+		}
+	}
+	if x := s.Steward; x != nil {
+		errs = append(errs, x.check()...)
+		if s.State != nil || s.Membership != nil || s.Duties != nil {
+			errs = append(errs, errors.New("steward: a steward is no relay: [state], [membership] and [duties] belong in another file"))
+		}
+	}
 	return errors.Join(errs...)
 }
 
+func (x *Steward) check() (errs []error) {
+	for key, text := range map[string]string{"name": x.Name, "fleet": x.Fleet} {
+		if text == "" || strings.ContainsAny(text, ",/ ") {
+			errs = append(errs, fmt.Errorf("steward.%s: %q is none", key, text))
+		}
+	}
+	if x.Dir == "" {
+		errs = append(errs, errors.New("steward.dir: the steward needs a folder"))
+	}
+	errs = append(errs, addresses("steward.listen", x.Listen)...)
+	errs = append(errs, addresses("steward.api", x.API)...)
+	errs = append(errs, addresses("steward.seeds", x.Seeds...)...)
+	for key, a := range map[string]string{"advertise": x.Advertise, "advertise_api": x.AdvertiseAPI} {
+		if a != "" {
+			errs = append(errs, addresses("steward."+key, a)...)
+		}
+	}
+	return errs
+}
+
+// addresses tells which are none.
+func addresses(key string, all ...string) (errs []error) {
+	for _, a := range all {
+		if _, err := netip.ParseAddrPort(a); err != nil {
+			errs = append(errs, fmt.Errorf("%s: %q is not an IP address with a port", key, a))
+		}
+	}
+	return errs
+}
+
 // Logger is the logger that the settings ask for.
 func (s *Settings) Logger() *slog.Logger {
 	o := &slog.HandlerOptions{Level: s.LogLevel}
