Fence orders at the second address by epoch, and add up the fleet's figures as a duty

Need: a holder that was paused and wakes up believing must not take endpoints out at relays; operators read the figures of 300 relays one by one; and what a member costs the network was not counted anywhere.

Change: /api/exclude and /api/include take a duty and an epoch, and refuse one older than any seen with 409; the epoch is on disk before the order is carried out, and passes over a hand-over with the set. With [duties] the relay may hold fleet-figures, which asks every member's second address and tells how many were heard; cherrytrestlectl has duties, stewards and fleet. Members tell their second address, and fleet.bytes counts what membership sends. Seeds are asked ever more seldom where some members stay missing: each join exchanges all that both sides know.

The relay alone links the fence and no raft.

--- /dev/null
+++ b/cmd/cherrytrestlectl/duties.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/duty/call"
+	"onyxroad.dev/onyxroad/internal/duty/figures"
+)
+
+// stewardsFor is how long the stewards have to agree on something, a new leader's election included.
+const stewardsFor = 10 * time.Second
+
+// atStewards are the stewards to speak with.
+type atStewards struct {
+	Stewards []string `required:"" env:"IVYGAUGE_STEWARDS" help:"Addresses of the stewards' APIs, hosts and ports; one that is up is enough."`
+}
+
+// do asks whichever steward leads.
+func (a *atStewards) do(path string, in, out any, wait time.Duration) error {
+	client := call.NewClient(a.Stewards, nil)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), wait+stewardsFor)
+	defer cancel()
+	return client.Do(ctx, path, in, out, wait)
+}
+
+type dutiesCmd struct {
+	atStewards
+}
+
+func (c *dutiesCmd) Run(all *cli, out io.Writer) error {
+	var d call.DutiesOut
+	if err := c.do(call.PathDuties, nil, &d, 0); err != nil {
+		return err
+	}
+	if all.JSON {
+		return json.NewEncoder(out).Encode(d)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "DUTY\tHOLDER\tADDRESS\tEPOCH\tLEASE LEFT\tWAITING\t")
+	for _, x := range d.Duties {
+		holder, note := x.Holder, ""
+		switch {
+		case holder == "":
+			holder = "nobody"
+		case x.Left == 0:
+			note = "its lease is over"
+		case x.Asked:
+			note = "asked to step down"
+		}
+		if x.To != "" {
+			note = "handed to " + x.To
+		}
+		if x.Quick > 1 {
+			note = fmt.Sprintf("%d holders in a row ended early", x.Quick)
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%v\t%d\t%s\n", x.Duty, holder, x.Addr, x.Epoch, x.Left.Round(10*time.Millisecond), x.Waiting, note)
+	}
+	return w.Flush()
+}
+
+type stepDownCmd struct {
+	atStewards
+	Duty string        `arg:"" help:"The duty."`
+	To   string        `help:"Who is to have it next, by its name as a holder; none: whoever waits longest."`
+	Bar  time.Duration `default:"1m" help:"For how long the holder does not get it back, at most an hour."`
+}
+
+func (c *stepDownCmd) Run(all *cli, out io.Writer) error {
+	began := time.Now()
+	var d call.Duty
+	if err := c.do(call.PathStepDown, call.StepDownIn{Duty: c.Duty, To: c.To, BarMS: c.Bar.Milliseconds()}, &d, call.WaitMost); err != nil {
+		return err
+	}
+	if all.JSON {
+		return json.NewEncoder(out).Encode(d)
+	}
+	fmt.Fprintf(out, "%s was given up after %v\n", c.Duty, time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
+type stewardsCmd struct {
+	atStewards
+}
+
+func (c *stewardsCmd) Run(all *cli, out io.Writer) error {
+	client := call.NewClient(c.Stewards, nil)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), stewardsFor)
+	defer cancel()
+	var known call.StewardsOut
+	var err error
+	for _, a := range c.Stewards {
+		var one call.StewardsOut
+		if _, e := client.One(ctx, a, call.PathStewards, nil, &one, 0); e != nil {
+			err = e
+		} else if one.Applied >= known.Applied && len(one.Stewards) >= len(known.Stewards) {
+			known = one
+		}
+	}
+	if known.Self == "" {
+		return fmt.Errorf("no steward answers: %w", err)
+	}
+	if all.JSON {
+		if err := json.NewEncoder(out).Encode(known); err != nil {
+			return err
+		}
+	} else {
+		fmt.Fprintf(out, "cluster %s, era %d, term %d\n", known.Cluster, known.Era, known.Term)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	if !all.JSON {
+		fmt.Fprintln(w, "STEWARD\tADDRESS\tAPI\tTERM\tAPPLIED\t")
+	}
+	led, silent := false, false
+	for _, s := range known.Stewards {
+		var one call.StewardsOut
+		note := ""
+		if _, err := client.One(ctx, s.API, call.PathStewards, nil, &one, 0); err != nil {
+			note, silent = "does not answer", true
+		} else if s.Leader {
+			note, led = "leads", true
+		}
+		if !all.JSON {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%s\n", s.ID, s.Listen, s.API, one.Term, one.Applied, note)
+		}
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if !led || silent {
+		return errBroken
+	}
+	return nil
+}
+
+type beginCmd struct {
+	Addr string `arg:"" help:"The first steward's API, host and port."`
+}
+
+func (c *beginCmd) Run(_ *cli, out io.Writer) error {
+	client := call.NewClient(nil, nil)
+	defer client.Close()
+	var x call.JoinOut
+	if _, err := client.One(context.Background(), c.Addr, call.PathBegin, call.Done{}, &x, stewardsFor); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "cluster %s has begun\n", x.Cluster)
+	return nil
+}
+
+type removeCmd struct {
+	atStewards
+	Name string `arg:"" help:"The steward's name."`
+}
+
+func (c *removeCmd) Run(_ *cli, out io.Writer) error {
+	if err := c.do(call.PathRemove, call.RemoveIn{ID: c.Name}, &call.Done{}, stewardsFor); err != nil {
+		return err
+	}
+	fmt.Fprintln(out, c.Name, "is no steward any more")
+	return nil
+}
+
+type fleetCmd struct {
+	atStewards
+}
+
+func (c *fleetCmd) Run(_ *cli, out io.Writer) error {
+	var d call.DutiesOut
+	if err := c.do(call.PathDuties, nil, &d, 0); err != nil {
+		return err
+	}
+	for _, x := range d.Duties {
+		if x.Duty != figures.Duty || x.Holder == "" {
+			continue
+		}
+		client := &http.Client{Timeout: askFor}
+		res, err := client.Get("http://" + x.Addr + "/api/fleet")
+		if err != nil {
+			return fmt.Errorf("ask %s: %w", x.Holder, err)
+		}
+		defer res.Body.Close()
+		if res.StatusCode != http.StatusOK {
+			return fmt.Errorf("%s has no figures yet: %s", x.Holder, res.Status)
+		}
+		if _, err := io.Copy(out, res.Body); err != nil {
+			return err
+		}
+		fmt.Fprintln(out)
+		return nil
+	}
+	return errors.New("no relay holds " + figures.Duty)
+}
--- a/cmd/cherrytrestlectl/main.go
+++ b/cmd/cherrytrestlectl/main.go
@@ -27,7 +27,17 @@
 		Repair repairCmd `cmd:"" help:"Put a stopped relay's folder in order, as a start would, or into another format."`
 	} `cmd:"" help:"A relay's state folder."`
 	Members membersCmd `cmd:"" help:"Show who is in the fleet, as one relay sees it. Exit 1 if its view is not agreed on."`
-	Config  struct {
+	Duties  struct {
+		List     dutiesCmd   `cmd:"" default:"withargs" help:"Show every duty, who holds it under which epoch, and for how long without another word."`
+		StepDown stepDownCmd `cmd:"" help:"Have a duty's holder step down, and wait until it has."`
+	} `cmd:"" help:"What one process of the fleet does at a time."`
+	Stewards struct {
+		List   stewardsCmd `cmd:"" default:"withargs" help:"Show the stewards. Exit 1 if none of them leads, or one does not answer."`
+		Begin  beginCmd    `cmd:"" help:"Have a first steward begin; the others, whose seeds name it, join it. Once in the life of a fleet."`
+		Remove removeCmd   `cmd:"" help:"Take a steward's place away, by name."`
+	} `cmd:"" help:"Those that agree on duties. A lost majority: cherrytrestle-steward recover."`
+	Fleet  fleetCmd `cmd:"" help:"Show the fleet's figures, added up by the holder of fleet-figures."`
+	Config struct {
 		Check configCmd `cmd:"" help:"Check a settings file."`
 	} `cmd:"" help:"The settings file."`
 }
--- a/internal/membership/gossip/fleet.go
+++ b/internal/membership/gossip/fleet.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,6 +33,7 @@
 	digestsTo  = 2 // members that are told of the view each second
 	rejoinFrom = 2 * time.Second
 	rejoinTo   = 4 * time.Second
+	seedsEvery = 5 * time.Second
 	rejoinMost = 4 // addresses that are tried at once
 	probeFor   = time.Second
 	leaveFor   = 500 * time.Millisecond
@@ -55,6 +57,7 @@
 	cfg    membership.Config
 	self   membership.Process
 	list   *memberlist.Memberlist
+	at     *transport
 	cancel context.CancelFunc
 	work   sync.WaitGroup
 	wake   chan struct{} // holds one: the view has changed
@@ -88,7 +91,8 @@
 		return nil, err
 	}
 	f := &Fleet{cfg: cfg, wake: make(chan struct{}, 1), told: told, refused: map[string]bool{}}
-	f.self = membership.Process{Name: cfg.Name, Building: cfg.Building, Incarnation: incarnation, Folder: folder, Version: cfg.Version, State: membership.Starting}
+	f.self = membership.Process{Name: cfg.Name, Building: cfg.Building, Incarnation: incarnation, Folder: folder, Version: cfg.Version, Admin: cfg.Admin,
+		State: membership.Starting}
 
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Label = nodeName(f.self), cfg.Fleet
@@ -114,6 +118,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("membership: listen at %s: %w", cfg.Bind, err)
 	}
+	f.at = at
 	if c.Transport = at; portNumber == 0 {
 		c.BindPort = at.GetAutoBindPort()
 		c.AdvertisePort = c.BindPort
@@ -142,13 +147,16 @@
 	return fmt.Sprintf("%s/%x/%s", p.Name, p.Incarnation, p.Folder)
 }
 
-// membership.View is the current view.
+// View is the current view.
 func (f *Fleet) View() membership.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.tracker.View()
 }
 
+// Bytes is what this process's part has sent, and taken on connections that it opened.
+func (f *Fleet) Bytes() int64 { return f.at.bytes.Load() }
+
 // Become tells the others of this process's state.
 func (f *Fleet) Become(s membership.State) { f.become(s, 0) }
 
@@ -289,7 +297,9 @@
 			continue
 		}
 		var to []string
-		if v.Present == 1 || v.Present < f.cfg.Size && rand.IntN(4) == 0 {
+		// Each join exchanges all that both sides know. Where some are missing for long, or will never come, it is asked for ever
+		// more seldom.
+		if stood := max(1, int(time.Since(v.At)/seedsEvery)); v.Present == 1 || v.Present < f.cfg.Size && rand.IntN(4*stood) == 0 {
 			for _, s := range f.cfg.Seeds {
 				if s != f.cfg.Bind && s != f.cfg.Advertise {
 					to = append(to, s)
@@ -402,10 +412,40 @@
 func (delegate) LocalState(bool) []byte              { return nil }
 func (delegate) MergeRemoteState(buf []byte, _ bool) {}
 
-// transport is the library's, whose connections come from the address that it listens at.
+// transport is the library's, whose connections come from the address that it listens at. It counts what this process sends, and
+// what comes back on connections that it opened.
 type transport struct {
 	*memberlist.NetTransport
-	bind string
+	bind  string
+	bytes atomic.Int64
+}
+
+// counted is a connection whose bytes count.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (t *transport) WriteTo(p []byte, addr string) (time.Time, error) {
+	t.bytes.Add(int64(len(p)))
+	return t.NetTransport.WriteTo(p, addr)
+}
+
+func (t *transport) WriteToAddress(p []byte, a memberlist.Address) (time.Time, error) {
+	t.bytes.Add(int64(len(p)))
+	return t.NetTransport.WriteToAddress(p, a)
 }
 
 func newTransport(host string, port int, l *log.Logger) (*transport, error) {
@@ -413,13 +453,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &transport{t, net.JoinHostPort(host, strconv.Itoa(port))}, nil
+	return &transport{NetTransport: t, bind: net.JoinHostPort(host, strconv.Itoa(port))}, nil
 }
 
 func (t *transport) DialTimeout(addr string, d time.Duration) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
-	return dialer(t.bind).DialContext(ctx, "tcp", addr)
+	c, err := dialer(t.bind).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return counted{c, &t.bytes}, nil
 }
 
 func (t *transport) DialAddressTimeout(a memberlist.Address, d time.Duration) (net.Conn, error) {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -38,6 +38,7 @@
 	Folder      string `json:"f"`           // its state folder's own mark: a cloned folder has the same, an emptied one another
 	Version     string `json:"v,omitempty"` // the program's
 	State       State  `json:"s"`
+	Admin       string `json:"m,omitempty"` // its second address
 }
 
 // newer orders processes of one name. Folders decide between those that began in one moment, so that all decide alike.
@@ -60,6 +61,7 @@
 	Name      string
 	Building  string
 	Version   string // the program's
+	Admin     string // its second address
 	Bind      string // host and port, TCP and UDP
 	Advertise string // where others find it; none: Bind
 	Seeds     []string
@@ -72,6 +74,8 @@
 // Fleet is a process's part in its fleet. Its methods may be called from any goroutine.
 type Fleet interface {
 	View() View
+	// Bytes is what this process's part has cost the network so far: what it sent, and took on connections that it opened.
+	Bytes() int64
 	// Become tells the others of this process's state, and waits for nobody.
 	Become(State)
 	// Leave leaves in order, so that nobody has to find out, and ends this process's part. It takes a second at most.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -35,6 +35,7 @@
   --config FILE   the settings of this project; IVYGAUGE_CONFIG if not given. Without one all of these are off:
                   [state] durability = "process" or "power", memories, memories_every
                   [membership] fleet, bind, advertise, seeds, allow
+                  [duties] stewards, lease, figures
                   log_format, log_level
                   Check a file with: cherrytrestlectl config check FILE
 
@@ -44,8 +45,8 @@
 // Fleet is the program beside this one that has what membership takes.
 const Fleet = "cherrytrestle-fleet"
 
-// Main runs the program. join joins the fleet; nil in the program that can't.
-func Main(join membership.Join) {
+// Main runs the program. join joins the fleet, and duties takes part in its duties; nil in the program that can't.
+func Main(join membership.Join, duties func(DutyConfig) relay.Duties) {
 	set := flag.NewFlagSet("cherrytrestle", flag.ContinueOnError)
 	set.Usage = func() { fmt.Fprint(os.Stderr, usage) }
 	path := set.String("config", "", "")
@@ -62,13 +63,23 @@
 		fmt.Fprintf(os.Stderr, "cherrytrestle: %q means nothing here\n%s", set.Arg(0), usage)
 		os.Exit(2)
 	}
-	if err := run(*path, join); err != nil {
+	if err := run(*path, join, duties); err != nil {
 		slog.Error("stopped", "err", err)
 		os.Exit(1)
 	}
 }
 
-func run(path string, join membership.Join) error {
+// DutyConfig is a relay's part in the fleet's duties.
+type DutyConfig struct {
+	Stewards []string
+	Lease    time.Duration
+	Figures  bool
+	Name     string // the relay's
+	Admin    string // its second address
+	Log      *slog.Logger
+}
+
+func run(path string, join membership.Join, duties func(DutyConfig) relay.Duties) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reload := make(chan os.Signal, 1) // caught from the start: unhandled, SIGHUP ends the process
@@ -96,11 +107,15 @@
 	}
 	if m := own.Membership; m != nil {
 		cfg.Join, cfg.Membership = join, membership.Config{Fleet: m.Fleet, Name: cfg.Name, Bind: m.Bind, Advertise: m.Advertise,
-			Seeds: m.Seeds, Allow: m.Allow, Size: cfg.Settings.Senders, StateDir: cfg.StateDir, Version: version(), Log: slog.Default()}
+			Seeds: m.Seeds, Allow: m.Allow, Admin: cfg.Admin, Size: cfg.Settings.Senders, StateDir: cfg.StateDir, Version: version(), Log: slog.Default()}
 		if z := cfg.Settings.Zone; z >= 0 && z < len(cfg.Zones) {
 			cfg.Membership.Building = cfg.Zones[z]
 		}
 	}
+	if d := own.Duties; d != nil {
+		cfg.Duties = duties(DutyConfig{Stewards: d.Stewards, Lease: time.Duration(d.Lease), Figures: d.Figures, Name: cfg.Name,
+			Admin: cfg.Admin, Log: slog.Default()})
+	}
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * heapShare * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
 	r, err := relay.New(ctx, cfg, slog.Default())
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/duty"
 	"onyxroad.dev/onyxroad/internal/wal"
 )
 
@@ -93,7 +94,7 @@
 // admin answers a call at the second address.
 func (r *Relay) admin(_ *client, req *http.Request) answer {
 	switch path := req.URL.Path; path {
-	case "/api/ready", "/api/telemetry", "/api/members":
+	case "/api/ready", "/api/telemetry", "/api/members", "/api/fleet":
 		if req.Method != http.MethodGet {
 			return answer{status: http.StatusMethodNotAllowed, text: "GET only"}
 		}
@@ -103,6 +104,9 @@
 		if path == "/api/members" {
 			return r.members()
 		}
+		if path == "/api/fleet" {
+			return r.fleetFigures()
+		}
 		if !r.ready() {
 			return answer{status: http.StatusServiceUnavailable, text: "not serving"}
 		}
@@ -117,11 +121,15 @@
 		} else if err != nil {
 			return unreadable(err)
 		}
-		var call struct{ Host string }
+		var call order
 		if err := json.Unmarshal(body, &call); err != nil || call.Host == "" || len(call.Host) > idMost {
 			return bad(`the body is not {"host":"ID"}`)
 		}
-		return r.byHand.set(call.Host, path == "/api/exclude")
+		if call.Duty != "" && (duty.CheckName(call.Duty) != nil || call.Epoch == 0) || call.Duty == "" && call.Epoch != 0 {
+			return bad("an order in the name of a duty has its name and an epoch")
+		}
+		call.Out = path == "/api/exclude"
+		return r.byHand.set(call)
 	}
 	return answer{status: http.StatusNotFound, text: "no such call"}
 }
--- a/internal/relay/admin_test.go
+++ b/internal/relay/admin_test.go
@@ -181,7 +181,7 @@
 func TestAnExclusionThatIsNotKeptIsRefused(t *testing.T) {
 	r := newTestRelay(t)
 	r.byHand.dir = r.byHand.dir + "/none"
-	if a := r.byHand.set("s-1", true); a.status != http.StatusServiceUnavailable {
+	if a := r.byHand.set(order{Host: "s-1", Out: true}); a.status != http.StatusServiceUnavailable {
 		t.Errorf("status %d", a.status)
 	}
 	r.step(nil)
@@ -200,3 +200,36 @@
 		t.Errorf("%d ids, %d seen, first %v, stays %v", len(x.ids), len(x.seen), x.seen["first"], x.seen["stays"])
 	}
 }
+
+func TestOrdersInTheNameOfADutyAreFenced(t *testing.T) {
+	r := newTestRelay(t)
+	admin := adminOf(t, r)
+	r.byHand.load(nil)
+	r.byHand.listed([]string{"s-1"}, func(string) bool { return true })
+	give := func(path, body string, want int) {
+		t.Helper()
+		if status, text := ask(t, admin, http.MethodPost, path, body); status != want {
+			t.Errorf("%s: %d %s, want %d", body, status, text, want)
+		}
+	}
+	give("/api/exclude", `{"host":"s-1","duty":"release","epoch":7}`, 200)
+	give("/api/include", `{"host":"s-1","duty":"release","epoch":6}`, 409)
+	if !r.byHand.current()["s-1"] {
+		t.Error("a former holder's order was taken")
+	}
+	give("/api/include", `{"host":"s-1","duty":"release","epoch":7}`, 200)
+	give("/api/exclude", `{"host":"s-1"}`, 200) // an operator's own
+	for _, bad := range []string{`{"host":"s-1","duty":"release"}`, `{"host":"s-1","epoch":9}`, `{"host":"s-1","duty":"a b","epoch":9}`,
+		`{"host":"s-1","duty":"release","epoch":-1}`} {
+		give("/api/exclude", bad, 400)
+	}
+	// The next process knows of the newest epoch.
+	again := newExclusions(r.log, r.cfg.StateDir)
+	again.load([]string{"s-1"})
+	if a := again.set(order{Host: "s-1", Out: true, Duty: "release", Epoch: 6}); a.status != http.StatusConflict {
+		t.Errorf("after a restart: %d", a.status)
+	}
+	if a := again.set(order{Host: "s-1", Out: true, Duty: "release", Epoch: 8}); a.status != http.StatusOK {
+		t.Errorf("the next holder after a restart: %d %s", a.status, a.text)
+	}
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -50,6 +50,7 @@
 	Disk          disk.FS       // the log's files; nil: the operating system's
 	Join          membership.Join
 	Membership    membership.Config // with Join
+	Duties        Duties            // nil: none
 }
 
 // Limits are those of the relay's machine.
--- a/internal/relay/exclusions.go
+++ b/internal/relay/exclusions.go
@@ -11,6 +11,8 @@
 	"path/filepath"
 	"slices"
 	"sync"
+
+	"onyxroad.dev/onyxroad/internal/duty"
 )
 
 const (
@@ -21,6 +23,15 @@
 	stateReserve = 64 << 10
 )
 
+// order is an operator's: an endpoint is taken out by hand, or put back. One in the name of a duty carries the epoch of its
+// holder.
+type order struct {
+	Host  string `json:",omitempty"`
+	Out   bool   `json:",omitempty"`
+	Duty  string `json:",omitempty"`
+	Epoch uint64 `json:",omitempty"`
+}
+
 // exclusions is the set of endpoints that operators have taken out by hand. It alone writes the set, to the state
 // folder and before the yes. Callers change it without waiting for the loop, which hears of it by changed.
 type exclusions struct {
@@ -33,7 +44,8 @@
 	heir *link      // else the process that has it; nil if none has it yet
 	out  map[string]bool
 	seen map[string]bool
-	ids  []string // those of seen, by age
+	ids  []string    // those of seen, by age
+	gate *duty.Fence // of orders in the name of a duty; nil until one comes
 }
 
 func newExclusions(log *slog.Logger, dir string) *exclusions {
@@ -93,11 +105,12 @@
 }
 
 // set takes an endpoint out, or puts it back.
-func (x *exclusions) set(id string, out bool) answer {
+func (x *exclusions) set(o order) answer {
+	id, out := o.Host, o.Out
 	x.mu.Lock()
 	if heir := x.heir; heir != nil {
 		x.mu.Unlock()
-		in := &handIn{host: id, out: out, reply: make(chan answer, 1)}
+		in := &handIn{order: o, reply: make(chan answer, 1)}
 		heir.ask(in)
 		return <-in.reply
 	}
@@ -108,6 +121,12 @@
 	case !x.out[id] && !x.seen[id]:
 		return answer{status: http.StatusNotFound, text: "no such endpoint was ever listed"}
 	}
+	if err := x.pass(o); errors.Is(err, duty.ErrFenced) {
+		return answer{status: http.StatusConflict, text: err.Error()}
+	} else if err != nil {
+		x.log.Error("order in the name of a duty", "duty", o.Duty, "epoch", o.Epoch, "err", err)
+		return answer{status: http.StatusServiceUnavailable, text: "not kept: " + err.Error()}
+	}
 	if x.out[id] != out {
 		if err := x.write(id, out); err != nil {
 			x.log.Error("endpoint out by hand", "id", id, "out", out, "err", err)
@@ -122,6 +141,20 @@
 	return answer{status: http.StatusOK, text: "back"}
 }
 
+// pass refuses an order of a duty's former holder; with mu held. That a newer one was heard is on disk before anything of it
+// is done.
+func (x *exclusions) pass(o order) (err error) {
+	if o.Duty == "" {
+		return nil
+	}
+	if x.gate == nil {
+		if x.gate, err = duty.OpenFence(x.dir); err != nil {
+			return err
+		}
+	}
+	return x.gate.Pass(o.Duty, o.Epoch)
+}
+
 // write changes the set on disk, whole or not at all, and then here.
 func (x *exclusions) write(id string, out bool) error {
 	next := maps.Clone(x.out)
--- a/internal/relay/fleet.go
+++ b/internal/relay/fleet.go
@@ -91,6 +91,37 @@
 	return f.member.View(), true
 }
 
+// Duties is what a relay may hold of the fleet's duties. Nothing of a message's way depends on it.
+type Duties interface {
+	// Run claims duties and works on those that are held, until ctx ends. members tells who is present.
+	Run(ctx context.Context, members func() []membership.Process)
+	// Figures are the fleet's, in the second address's form, where this process holds them; else who does, perhaps.
+	Figures() (text string, held bool)
+}
+
+// fleetFigures answers GET /api/fleet.
+func (r *Relay) fleetFigures() answer {
+	if r.cfg.Duties == nil {
+		return answer{status: http.StatusNotFound, text: "no duties"}
+	}
+	text, held := r.cfg.Duties.Figures()
+	if !held {
+		return answer{status: http.StatusMisdirectedRequest, text: text}
+	}
+	return answer{status: http.StatusOK, text: text}
+}
+
+// members are the processes that are present; none without a fleet.
+func (f *fleet) members() (all []membership.Process) {
+	v, _ := f.view()
+	for _, m := range v.Members {
+		if m.Away == membership.Present {
+			all = append(all, m.Process)
+		}
+	}
+	return all
+}
+
 // members answers GET /api/members.
 func (r *Relay) members() answer {
 	v, ok := r.fleet.view()
@@ -122,5 +153,10 @@
 		{"view_version", int(v.Version)}} {
 		fmt.Fprintf(&b, "\nfleet.%s:%d|g", x.name, x.value)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.member != nil {
+		fmt.Fprintf(&b, "\nfleet.bytes:%d|c", f.member.Bytes())
+	}
 	return b.String()
 }
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -26,6 +26,7 @@
 }
 
 func (s *standIn) Become(x membership.State) { s.states = append(s.states, x) }
+func (s *standIn) Bytes() int64              { return 17 }
 func (s *standIn) Leave() error              { s.ended = "left"; return nil }
 func (s *standIn) Close() error              { s.ended = "closed"; return nil }
 
@@ -55,7 +56,7 @@
 		t.Errorf("%d, %s, %v", status, body, err)
 	}
 	if _, text := ask(t, admin, http.MethodGet, "/api/telemetry", ""); !strings.Contains(text, "fleet.careful:5|g") ||
-		!strings.Contains(text, "fleet.agreed:0|g") {
+		!strings.Contains(text, "fleet.agreed:0|g") || !strings.Contains(text, "fleet.bytes:17|c") {
 		t.Errorf("figures %s", text)
 	}
 	if err := r.fleet.end(true); err != nil || member.ended != "left" {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -72,8 +72,7 @@
 	Seq     uint32
 	Message *wal.Message `json:",omitempty"`
 	Body    []byte       `json:",omitempty"`
-	Host    string       `json:",omitempty"`
-	Out     bool         `json:",omitempty"`
+	order
 }
 
 type passedAnswer struct {
@@ -306,7 +305,7 @@
 	}
 	l.asked[seq] = in
 	l.mu.Unlock()
-	p := passed{Seq: seq, Message: in.m, Host: in.host, Out: in.out}
+	p := passed{Seq: seq, Message: in.m, order: in.order}
 	if in.m != nil {
 		p.Body = in.m.Body
 	}
@@ -497,7 +496,7 @@
 		case f.Leave != 0:
 			r.post(withdrawal{f.Leave})
 		case f.Hand != nil && f.Hand.Message == nil:
-			a := r.byHand.set(f.Hand.Host, f.Hand.Out)
+			a := r.byHand.set(f.Hand.order)
 			l.send(frame{Reply: &passedAnswer{Seq: f.Hand.Seq, Status: a.status, Text: a.text}})
 		case f.Hand != nil:
 			m := f.Hand.Message
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,9 +49,8 @@
 type (
 	handIn struct {
 		m     *wal.Message
-		as    *message // what it was taken for
-		host  string   // instead of a message: an endpoint that is taken out by hand, or put back; passed on only
-		out   bool
+		as    *message    // what it was taken for
+		order             // instead of a message; passed on only
 		reply chan answer // takes one without waiting
 	}
 	withdrawal struct{ id uint32 }
@@ -238,6 +237,9 @@
 	var joining sync.WaitGroup
 	joining.Go(func() { r.joinFleet(talk) })
 	defer joining.Wait()
+	if r.cfg.Duties != nil {
+		joining.Go(func() { r.cfg.Duties.Run(talk, r.fleet.members) })
+	}
 	r.log.Info("serving", "name", r.cfg.Name, "listen", r.listener.Addr().String())
 	defer r.heirs()()
 	select {
