Play stewards and holders under faults, and judge that their history is linearizable

Need: that one process holds a duty at a time has to be shown with real processes and faults between them.

Change: [stewards] in an experiment plays fleets of stewards, holders and receivers at once, a forwarder on every way: kills, pauses, cuts either way, orders in flight, emptied and older folders, receivers started anew, stepping down by hand. Loners beside members show what a member costs, and stewards may stand beside relays.

--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -35,6 +35,7 @@
 	Recovery recoveryCmd `cmd:"" help:"Measure one relay: what durability costs, and how long a start takes with how much in its log."`
 	Load     loadCmd     `cmd:"" help:"Check the clients: hand messages to a stand-in that answers at once, and tell how late the clients were."`
 	Faults   faultsCmd   `cmd:"" help:"List the kinds of fault that an experiment may name."`
+	Work     workCmd     `cmd:"" hidden:"" help:"Claim duties, and have effects while they are held."`
 	Burn     burnCmd     `cmd:"" hidden:"" help:"Take all of a core for a while."`
 	StandIn  standInCmd  `cmd:"" hidden:"" name:"stand-in" help:"Answer every request with 202 at once."`
 }
--- a/cmd/testbed/run.go
+++ b/cmd/testbed/run.go
@@ -32,6 +32,17 @@
 		if err != nil {
 			return err
 		}
+		if x.Stewards != nil {
+			for _, seed := range c.Seed {
+				r, err := runDuties(ctx, x, seed, c.Quick, c.Build, filepath.Join(c.Out, fmt.Sprintf("%s-%d", x.Name, seed)))
+				if err != nil {
+					return err
+				}
+				tellDuties(os.Stdout, r)
+				broken = broken || !r.OK()
+			}
+			continue
+		}
 		program, revision, err := relayProgram(ctx, c.Build, c.Out, x.NeedsDisk())
 		if err != nil {
 			return err
@@ -103,13 +114,7 @@
 		100*f["late"], 100*f["refused"], 100*f["failed"], 100*f["unanswered"], f["p50_ms"], f["p99_ms"])
 	fmt.Fprintf(w, "  a message: %.2f calls, %.2f refused, %.3f handshakes; memory %.1f MB, clients late %.1f ms at p99\n", f["calls"],
 		f["calls_refused"], f["handshakes"], f["memory_mb"], f["lateness_p99_ms"])
-	for _, b := range r.Bounds {
-		mark := "ok    "
-		if !b.OK {
-			mark = "BROKEN"
-		}
-		fmt.Fprintf(w, "  %s %s %.4g %s %g\n", mark, b.Name, b.Value, b.Op, b.Limit)
-	}
+	tellBounds(w, r)
 	for i, b := range r.Breaches {
 		if i == 10 {
 			fmt.Fprintf(w, "  ... %.0f in all\n", f["broken_rules"])
@@ -119,6 +124,12 @@
 	}
 }
 
+func tellBounds(w io.Writer, r *run.Result) {
+	for _, b := range r.Bounds {
+		fmt.Fprintf(w, "  %s %s %.4g %s %g\n", mark(b.OK), b.Name, b.Value, b.Op, b.Limit)
+	}
+}
+
 type reportCmd struct {
 	Dir string `arg:"" type:"existingdir" help:"A run's folder."`
 }
--- a/internal/testbed/audit/views.go
+++ b/internal/testbed/audit/views.go
@@ -43,11 +43,11 @@
 	}
 	var killed, left []float64
 	for _, x := range l.Lives {
-		if x.Asked == ledger.Never || x.End == ledger.Never {
+		if x.Asked == ledger.Never || x.End == ledger.Never || x.Relay >= p.Members() {
 			continue
 		}
 		name := p.Relays[x.Relay].Name
-		for r := range p.Relays {
+		for r := range p.Members() {
 			if r == x.Relay || !whole(r, x.Asked-2*time.Second, x.End+viewMost) {
 				continue
 			}
@@ -76,9 +76,9 @@
 	}
 	// The last to be ready begins the count: until then not all are there.
 	ready, last, missing := time.Duration(0), time.Duration(0), 0.0
-	for r := range p.Relays {
+	for r := range p.Members() {
 		ready = max(ready, lives[r][0].Ready)
-		i := slices.IndexFunc(by[r], func(v ledger.ViewChange) bool { return v.Present == len(p.Relays) })
+		i := slices.IndexFunc(by[r], func(v ledger.ViewChange) bool { return v.Present == p.Members() })
 		if i < 0 {
 			missing++
 			continue
@@ -132,7 +132,7 @@
 		}
 		from, to := offset+f.At, offset+f.At+f.For
 		said, healed := 0.0, time.Duration(0)
-		for r := range p.Relays {
+		for r := range p.Members() {
 			whole, known := true, false
 			at := p.Length
 			for _, v := range by[r] {
@@ -140,10 +140,10 @@
 					known = known || v.Agreement == "split" || v.Agreement == "alone"
 				}
 				if v.At <= to {
-					whole = v.Present == len(p.Relays)
-				} else if !whole && v.Present == len(p.Relays) {
+					whole = v.Present == p.Members()
+				} else if !whole && v.Present == p.Members() {
 					whole, at = true, v.At-to
-				} else if v.Present < len(p.Relays) {
+				} else if v.Present < p.Members() {
 					whole = false
 				}
 			}
@@ -157,7 +157,7 @@
 			}
 			healed = max(healed, at)
 		}
-		fig["split_known"], fig["view_healed_s"] = said/float64(len(p.Relays)), healed.Seconds()
+		fig["split_known"], fig["view_healed_s"] = said/float64(p.Members()), healed.Seconds()
 	}
 }
 
@@ -194,3 +194,40 @@
 	}
 	return float64(most)
 }
+
+// Rest adds what a member costs at rest over a relay that is none, in the run's second half: share of a core, MB of memory, and
+// bytes a second.
+func Rest(p *plan.Plan, l *ledger.Ledger, offset time.Duration, fig map[string]float64) {
+	type span struct{ first, last ledger.Sample }
+	spans := map[int]*span{}
+	memory := map[bool][]float64{}
+	for _, s := range l.Samples {
+		if s.At < offset+p.Length/2 || s.At > offset+p.Length {
+			continue
+		}
+		if x := spans[s.PID]; x == nil {
+			spans[s.PID] = &span{s, s}
+		} else {
+			x.last = s
+		}
+		memory[s.Relay < p.Members()] = append(memory[s.Relay < p.Members()], s.MemoryMB)
+	}
+	cpu, n := map[bool]float64{}, map[bool]float64{}
+	for _, x := range spans {
+		if took := x.last.At - x.first.At; took > 0 {
+			member := x.first.Relay < p.Members()
+			cpu[member] += (x.last.CPU - x.first.CPU).Seconds() / took.Seconds()
+			n[member]++
+		}
+	}
+	for _, v := range memory {
+		slices.Sort(v)
+	}
+	fig["member_cpu"] = cpu[true]/n[true] - cpu[false]/n[false]
+	fig["member_memory_mb"] = quantile(memory[true], 0.5) - quantile(memory[false], 0.5)
+	sum := 0.0
+	for _, t := range l.Traffic {
+		sum += float64(t.Bytes) / (t.To - t.From).Seconds()
+	}
+	fig["member_bytes_s"] = sum / float64(len(l.Traffic))
+}
--- a/internal/testbed/audit/views_test.go
+++ b/internal/testbed/audit/views_test.go
@@ -4,13 +4,14 @@
 	"testing"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/testbed/experiment"
 	"onyxroad.dev/onyxroad/internal/testbed/ledger"
 	"onyxroad.dev/onyxroad/internal/testbed/plan"
 )
 
 func TestViews(t *testing.T) {
 	const s = time.Second
-	p := &plan.Plan{Length: 60 * s, Relays: []plan.Relay{{Name: "a"}, {Name: "b"}, {Name: "c"}},
+	p := &plan.Plan{Experiment: &experiment.Experiment{}, Length: 60 * s, Relays: []plan.Relay{{Name: "a"}, {Name: "b"}, {Name: "c"}},
 		Faults: []plan.Fault{{Kind: "cut", At: 30 * s, For: 10 * s}}}
 	life := func(r int, asked, end time.Duration, exit string) *ledger.Life {
 		return &ledger.Life{Relay: r, Ready: s, Asked: asked, End: end, Exit: exit}
@@ -38,3 +39,23 @@
 		}
 	}
 }
+
+func TestRestComparesMembersWithTheOthers(t *testing.T) {
+	const s = time.Second
+	x := &experiment.Experiment{}
+	x.Fleet.Loners = 1
+	p := &plan.Plan{Experiment: x, Length: 20 * s, Relays: make([]plan.Relay, 3)}
+	l := &ledger.Ledger{Traffic: []ledger.Traffic{{Relay: 0, From: 10 * s, To: 20 * s, Bytes: 1000}, {Relay: 1, From: 10 * s, To: 15 * s, Bytes: 1500}}}
+	for r, used := range []time.Duration{s / 10, s / 5, s / 20} { // members take 0.01 and 0.02 of a core, the other one 0.005
+		for i, at := range []time.Duration{5 * s, 10 * s, 20 * s} {
+			l.Samples = append(l.Samples, ledger.Sample{Relay: r, PID: r + 1, At: at, CPU: s + used*time.Duration(i), MemoryMB: float64(20 - 5*(r/2))})
+		}
+	}
+	fig := map[string]float64{}
+	Rest(p, l, 0, fig)
+	for name, want := range map[string]float64{"member_cpu": 0.01, "member_memory_mb": 5, "member_bytes_s": 200} {
+		if got := fig[name]; got < want-1e-9 || got > want+1e-9 {
+			t.Errorf("%s: %v, want %v", name, got, want)
+		}
+	}
+}
--- a/internal/testbed/build/build.go
+++ b/internal/testbed/build/build.go
@@ -15,6 +15,8 @@
 const (
 	Relay = "cherrytrestle"
 	Fleet = "cherrytrestle-fleet"
+	// Steward is the stewards' program.
+	Steward = "cherrytrestle-steward"
 )
 
 // Root is the repository's root above a folder.
@@ -81,8 +83,10 @@
 	}
 	program := filepath.Join(into, Relay)
 	packages := []string{"./cmd/" + Relay}
-	if _, err := os.Stat(filepath.Join(tree, "cmd", Fleet)); err == nil {
-		packages = append(packages, "./cmd/"+Fleet) // earlier revisions have none
+	for _, name := range []string{Fleet, Steward} {
+		if _, err := os.Stat(filepath.Join(tree, "cmd", name)); err == nil {
+			packages = append(packages, "./cmd/"+name) // earlier revisions have none
+		}
 	}
 	cmd := exec.CommandContext(ctx, "go", append([]string{"build", "-buildvcs=false", "-ldflags=-linkmode=external",
 		"-tags=" + strings.Join(tags, ","), "-o", into + "/"}, packages...)...)
--- /dev/null
+++ b/internal/testbed/duties/receiver.go
@@ -0,0 +1,74 @@
+package duties
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+
+	"onyxroad.dev/onyxroad/internal/duty"
+)
+
+// receiver takes effects, and keeps the highest epoch of each duty as everything does that takes any: by a duty.Fence.
+type receiver struct {
+	index   int
+	dir     string
+	noFence bool
+	server  *http.Server
+	addr    string
+
+	mu      sync.Mutex
+	fence   *duty.Fence
+	effects []Effect
+}
+
+func newReceiver(index int, addr, dir string, noFence bool) (*receiver, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, fmt.Errorf("duties: %w", err)
+	}
+	r := &receiver{index: index, dir: dir, noFence: noFence}
+	if err := r.restart(); err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return nil, fmt.Errorf("duties: %w", err)
+	}
+	r.addr = l.Addr().String()
+	r.server = &http.Server{Handler: http.HandlerFunc(r.take)}
+	go r.server.Serve(l)
+	return r, nil
+}
+
+// restart has it forget all that is not on disk.
+func (r *receiver) restart() (err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fence, err = duty.OpenFence(r.dir)
+	return err
+}
+
+func (r *receiver) take(w http.ResponseWriter, req *http.Request) {
+	var e effect
+	if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, 4096)).Decode(&e); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	came := Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	err := error(nil)
+	if !r.noFence {
+		err = r.fence.Pass(e.Duty, e.Epoch)
+	}
+	r.effects = append(r.effects, Effect{Worker: e.Worker, Duty: e.Duty, Receiver: r.index, Epoch: e.Epoch, Sent: e.Sent, Came: came,
+		Done: Now(), Taken: err == nil})
+	if errors.Is(err, duty.ErrFenced) {
+		http.Error(w, err.Error(), http.StatusConflict)
+	} else if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+	}
+}
--- /dev/null
+++ b/internal/testbed/duties/run.go
@@ -0,0 +1,415 @@
+// Package duties plays stewards and processes that hold duties, in several fleets at once, with faults between them, and judges
+// what they did: that their history is linearizable, that no effect of an older holder was taken after one of a newer, and how
+// long it took until another took over.
+package duties
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/duty/call"
+	"onyxroad.dev/onyxroad/internal/testbed/experiment"
+	"onyxroad.dev/onyxroad/internal/testbed/network"
+	"onyxroad.dev/onyxroad/internal/testbed/platform"
+	"onyxroad.dev/onyxroad/internal/testbed/process"
+)
+
+const (
+	effectEvery = 50 * time.Millisecond
+	probeEvery  = 50 * time.Millisecond
+	afterKill   = 6 * time.Second // that claims are watched after a leader's end
+	settleFor   = 2 * time.Second
+)
+
+// Programs are the programs that a play needs.
+type Programs struct {
+	Steward string
+	Testbed string // this one
+}
+
+// Result is what a play came to.
+type Result struct {
+	Fleets  int
+	Figures map[string]float64
+}
+
+// Run plays an experiment.
+func Run(ctx context.Context, x *experiment.Experiment, seed uint64, quick bool, programs Programs, progress func(string)) (*Result, error) {
+	s := x.Stewards
+	rng := rand.New(rand.NewPCG(seed, 0x6475747973))
+	length := x.Length.D()
+	fleets := s.Fleets.DrawInt(rng)
+	if quick {
+		length = x.Quick.D()
+		fleets = min(fleets, max(1, s.QuickFleets))
+	}
+	dir, err := os.MkdirTemp("", "testbed-")
+	if err != nil {
+		return nil, fmt.Errorf("duties: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	ports, err := platform.TakePorts()
+	if err != nil {
+		return nil, err
+	}
+	defer ports.Release()
+	starter := process.NewStarter()
+	c := &play{x: x, length: length, faults: map[string]int{}, probes: map[int][]span{}, ends: map[int][]time.Duration{}}
+	var all sync.WaitGroup
+	errs := make([]error, fleets)
+	histories := make([]History, fleets)
+	for i := range fleets {
+		f := &fleet{index: i, dir: filepath.Join(dir, fmt.Sprint(i)), base: ports.Base(), programs: programs, lease: s.Lease.D(),
+			duties: s.Duties.DrawInt(rng), start: starter}
+		stewards, workers := s.Count.DrawInt(rng)|1, s.Workers.DrawInt(rng)
+		own := rand.New(rand.NewPCG(seed, uint64(i)+1))
+		all.Go(func() {
+			defer f.down()
+			if errs[i] = f.up(ctx, stewards, workers, max(1, s.Holders), s.NoFence); errs[i] != nil {
+				return
+			}
+			c.play(ctx, f, own)
+			f.down()
+			histories[i], errs[i] = f.history()
+		})
+	}
+	done := make(chan struct{})
+	go func() { all.Wait(); close(done) }()
+	for began := time.Now(); ; {
+		select {
+		case <-done:
+		case <-time.After(time.Second):
+			progress(fmt.Sprintf("%s seed %d: %3.0f of %.0f s, %d fleets", x.Name, seed, time.Since(began).Seconds(), length.Seconds(), fleets))
+			continue
+		}
+		break
+	}
+	starter.End()
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	return &Result{fleets, c.figures(histories, length)}, nil
+}
+
+// play collects what is measured while fleets run.
+type play struct {
+	x      *experiment.Experiment
+	length time.Duration
+
+	mu       sync.Mutex
+	takeover []float64 // seconds from a holder's SIGKILL to the next grant
+	handOn   []float64 // from an operator's word to the next grant
+	cpu      []float64 // share of a core that leaders took
+	faults   map[string]int
+	failed   []error
+	probes   map[int][]span          // claims, by fleet
+	ends     map[int][]time.Duration // of leaders
+}
+
+type span struct{ from, to time.Duration }
+
+func (c *play) add(to *[]float64, v float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	*to = append(*to, v)
+}
+
+// event is one fault with its moment.
+type event struct {
+	at    time.Duration
+	fault experiment.Fault
+	draw  uint64
+}
+
+// draw draws when faults come.
+func (c *play) draw(rng *rand.Rand) (all []event) {
+	for _, x := range c.x.Faults {
+		times := 1
+		if n := x.Times.Draw(rng); n > 0 {
+			times = max(1, int(n*float64(c.length)/float64(c.x.Length.D())+0.5))
+		}
+		for i := range times {
+			part := rng.Float64()
+			if x.Even {
+				part = (float64(i) + part/3) / float64(times)
+			}
+			at := time.Duration((x.At.Draw(rng) + part*x.Over.Draw(rng)) * float64(c.length))
+			all = append(all, event{at, x, rng.Uint64()})
+		}
+	}
+	slices.SortFunc(all, func(a, b event) int { return int(a.at - b.at) })
+	return all
+}
+
+// play has faults come over one fleet.
+func (c *play) play(ctx context.Context, f *fleet, rng *rand.Rand) {
+	network.Sleep(ctx, settleFor)
+	events := c.draw(rng)
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, c.length)
+	defer cancel()
+	var all sync.WaitGroup
+	if c.x.Stewards.Probe {
+		all.Go(func() { c.probe(ctx, f) })
+	}
+	all.Go(func() { c.measure(ctx, f) })
+	for _, e := range events {
+		if network.Sleep(ctx, time.Until(began.Add(e.at))) != nil {
+			break
+		}
+		all.Go(func() {
+			if err := c.begin(ctx, f, e); err != nil && f.ctx.Err() == nil && ctx.Err() == nil {
+				c.mu.Lock()
+				c.failed = append(c.failed, fmt.Errorf("%s: %w", e.fault.Kind, err))
+				c.mu.Unlock()
+			}
+		})
+	}
+	<-ctx.Done()
+	f.cancel() // ends what still lasts
+	all.Wait()
+}
+
+// begin has one fault come, and returns when it is over.
+func (c *play) begin(ctx context.Context, f *fleet, e event) error {
+	x, rng := e.fault, rand.New(rand.NewPCG(e.draw, 1))
+	d := x.For.Draw(rng)
+	share := x.Share.Draw(rng)
+	c.mu.Lock()
+	c.faults[x.Kind]++
+	c.mu.Unlock()
+	var struck []*node
+	switch x.Of {
+	case "leader":
+		n, err := f.leader(ctx)
+		if err != nil {
+			return nil // there is none to strike
+		}
+		struck = []*node{n}
+	case "holder":
+		n, _, err := f.holderOf(ctx, fmt.Sprintf("duty-%d", rng.IntN(f.duties)))
+		if err != nil {
+			return nil
+		}
+		struck = []*node{n}
+	case "workers":
+		struck = some(rng, f.workers, share)
+	default:
+		struck = some(rng, f.stewards, share)
+	}
+	rest := func() (all []int) {
+		for _, n := range slices.Concat(f.stewards, f.workers) {
+			if !slices.Contains(struck, n) {
+				all = append(all, n.place)
+			}
+		}
+		return all
+	}
+	switch x.Kind {
+	case "kill", "term":
+		sig := syscall.SIGKILL
+		if x.Kind == "term" {
+			sig = syscall.SIGTERM
+		}
+		switch x.Of {
+		case "leader":
+			c.mu.Lock()
+			c.ends[f.index] = append(c.ends[f.index], Now())
+			c.mu.Unlock()
+		case "holder":
+			c.watchTakeover(ctx, f, struck[0])
+		}
+		return f.each(struck, func(n *node) error { return f.restart(n, sig, d, nil) })
+	case "empty", "older":
+		return f.lose(struck[0], d, x.Kind == "older")
+	case "pause":
+		return f.each(struck, func(n *node) error { f.pause(n, d); return nil })
+	case "cut", "one-way":
+		f.cut(places(struck), rest(), d, x.Kind == "one-way")
+	case "delay":
+		return f.each(struck, func(n *node) error {
+			f.delay(n, time.Duration(x.Size.Draw(rng)*float64(time.Second)), d)
+			return nil
+		})
+	case "forget":
+		return f.receivers[rng.IntN(receivers)].restart()
+	case "step-down":
+		name := fmt.Sprintf("duty-%d", rng.IntN(f.duties))
+		_, g, err := f.holderOf(ctx, name)
+		if err != nil {
+			return nil
+		}
+		began := time.Now()
+		in := call.StepDownIn{Duty: name, BarMS: int64(x.Size.Draw(rng) * 1000)}
+		if err := f.client.Do(ctx, call.PathStepDown, in, &call.Duty{}, call.WaitMost); err != nil {
+			return nil // under other faults
+		}
+		if c.next(ctx, f, name, g.Epoch) {
+			c.add(&c.handOn, time.Since(began).Seconds())
+		}
+	default:
+		return errors.New("no such fault of stewards and workers")
+	}
+	return nil
+}
+
+func (f *fleet) each(of []*node, do func(*node) error) error {
+	errs := make([]error, len(of))
+	var all sync.WaitGroup
+	for i, n := range of {
+		all.Go(func() { errs[i] = do(n) })
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+// next waits until a duty has a newer grant.
+func (c *play) next(ctx context.Context, f *fleet, name string, epoch uint64) bool {
+	for ctx.Err() == nil {
+		var out call.DutiesOut
+		if err := f.client.Do(ctx, call.PathDuties, nil, &out, time.Second); err == nil {
+			for _, d := range out.Duties {
+				if d.Duty == name && d.Epoch > epoch && d.Holder != "" {
+					return true
+				}
+			}
+		}
+		network.Sleep(ctx, 5*time.Millisecond)
+	}
+	return false
+}
+
+// watchTakeover kills a holder and measures how long each of its duties is without one.
+func (c *play) watchTakeover(ctx context.Context, f *fleet, n *node) {
+	var out call.DutiesOut
+	if f.client.Do(ctx, call.PathDuties, nil, &out, time.Second) != nil {
+		return
+	}
+	n.mu.Lock()
+	n.cmd.Process.Kill()
+	began := time.Now()
+	n.mu.Unlock()
+	for _, d := range out.Duties {
+		if len(d.Holder) > len(n.name) && d.Holder[:len(n.name)+1] == n.name+"." {
+			f.work.Go(func() {
+				if c.next(ctx, f, d.Duty, d.Epoch) {
+					c.add(&c.takeover, time.Since(began).Seconds())
+				}
+			})
+		}
+	}
+}
+
+// probe claims a duty of its own and gives it up, over and over: how long that takes tells whether claims go on.
+func (c *play) probe(ctx context.Context, f *fleet) {
+	client := call.NewClient(f.apis(), f.ip(placeOperator, 1))
+	defer client.Close()
+	for n := 0; ctx.Err() == nil; n++ {
+		began := Now()
+		in := call.ClaimIn{Holder: "probe", WaitMS: 2000, Wishes: []call.Wish{{Duty: "probe", ID: fmt.Sprint("probe-", n), LeaseMS: 500}}}
+		var out call.ClaimOut
+		err := client.Do(ctx, call.PathClaim, in, &out, 2*time.Second)
+		if err == nil && len(out.Granted) == 1 && out.Granted[0].Epoch > 0 {
+			c.mu.Lock()
+			c.probes[f.index] = append(c.probes[f.index], span{began, Now()})
+			c.mu.Unlock()
+			client.Do(ctx, call.PathRelease, call.ReleaseIn{Holder: "probe", Duty: "probe", Epoch: out.Granted[0].Epoch}, &call.Done{}, 0)
+		}
+		network.Sleep(ctx, probeEvery)
+	}
+}
+
+// measure samples what leaders take of a core.
+func (c *play) measure(ctx context.Context, f *fleet) {
+	var last *node
+	used := time.Duration(0)
+	for at := time.Now(); network.Sleep(ctx, 2*time.Second) == nil; at = time.Now() {
+		n, err := f.leader(ctx)
+		if err != nil {
+			last = nil
+			continue
+		}
+		n.mu.Lock()
+		now := process.ProcessorTime(n.cmd.Process.Pid)
+		n.mu.Unlock()
+		if n == last && now > used {
+			c.add(&c.cpu, (now-used).Seconds()/time.Since(at).Seconds())
+		}
+		last, used = n, now
+	}
+}
+
+// figures sums the play up.
+func (c *play) figures(histories []History, length time.Duration) map[string]float64 {
+	fig := map[string]float64{"fault_seconds": float64(len(histories)) * length.Seconds(), "linearizable": 1, "unknown": 0,
+		"lost_to_leaders_end": 0, "fenced": 0, "effects": 0, "claims": 0, "faults_failed": float64(len(c.failed))}
+	for _, err := range c.failed {
+		fmt.Fprintln(os.Stderr, "testbed:", err)
+	}
+	var longest []float64
+	for i, h := range histories {
+		v := h.Audit()
+		if !v.Linearizable {
+			fig["linearizable"] = 0
+		}
+		if v.Unknown {
+			fig["unknown"]++
+		}
+		fig["older_taken"] += float64(v.OlderTaken)
+		fig["lease_overlaps"] += float64(v.Overlaps)
+		fig["epochs_reused"] += float64(v.Reused)
+		fig["claims"] += float64(len(h.Claims))
+		for _, e := range h.Effects {
+			if fig["effects"]++; !e.Taken {
+				fig["fenced"]++
+			}
+		}
+		for _, at := range c.ends[i] {
+			for _, e := range h.Ends {
+				if e.Lost && e.At > at && e.At < at+afterKill {
+					fig["lost_to_leaders_end"]++
+				}
+			}
+			most := time.Duration(0)
+			for _, p := range c.probes[i] {
+				if p.to > at && p.from < at+afterKill {
+					most = max(most, p.to-p.from)
+				}
+			}
+			if len(c.probes[i]) > 0 {
+				longest = append(longest, most.Seconds())
+			}
+		}
+	}
+	for kind, n := range c.faults {
+		fig["faults_"+kind] = float64(n)
+	}
+	fig["takeovers"], fig["hand_ons"], fig["leaders_ended"] = float64(len(c.takeover)), float64(len(c.handOn)), float64(len(longest))
+	fig["takeover_p99_s"], fig["hand_on_p99_s"], fig["claim_p99_s"] = top(c.takeover), top(c.handOn), top(longest)
+	fig["takeover_p50_s"], fig["hand_on_p50_s"], fig["claim_p50_s"] = quantile(c.takeover, 0.5), quantile(c.handOn, 0.5), quantile(longest, 0.5)
+	fig["leader_cpu"] = quantile(c.cpu, 0.5)
+	return fig
+}
+
+func top(v []float64) float64 { return quantile(v, 0.99) }
+
+// quantile of values in any order; -1 of none.
+func quantile(v []float64, q float64) float64 {
+	if len(v) == 0 {
+		return -1
+	}
+	v = slices.Sorted(slices.Values(v))
+	return v[min(len(v)-1, int(math.Ceil(q*float64(len(v))))-1)]
+}
--- /dev/null
+++ b/internal/testbed/duties/worker.go
@@ -0,0 +1,140 @@
+package duties
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"onyxroad.dev/onyxroad/internal/duty/call"
+	"onyxroad.dev/onyxroad/internal/duty/holder"
+)
+
+// receivers is how many there are of each fleet.
+const receivers = 2
+
+// Now is the machine's monotonic clock.
+func Now() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		panic(err) // every Linux has it
+	}
+	return time.Duration(t.Nano())
+}
+
+// WorkerOptions say what a worker does.
+type WorkerOptions struct {
+	Name      string
+	Count     int // holders in this process, with names of their own
+	Stewards  []string
+	Duties    int
+	Lease     time.Duration
+	Receivers []string
+	Every     time.Duration // between effects
+	Local     string        // address that its connections come from
+	Record    string        // file that it writes its terms to; empty: none
+}
+
+// effect is what a worker sends to a receiver.
+type effect struct {
+	Worker, Duty string
+	Epoch        uint64
+	Sent         time.Duration
+}
+
+// Work claims duties, and has effects while it holds them, until ctx ends. It is a process of its own in the testbed.
+func Work(ctx context.Context, o WorkerOptions) error {
+	var out io.Writer = io.Discard
+	if o.Record != "" {
+		f, err := os.OpenFile(o.Record, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return fmt.Errorf("worker: %w", err)
+		}
+		defer f.Close()
+		out = f
+	}
+	local := net.ParseIP(o.Local)
+	w := &worker{o: o, out: out, http: &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{
+		DialContext: (&net.Dialer{LocalAddr: &net.TCPAddr{IP: local}}).DialContext, MaxIdleConnsPerHost: 16}}}
+	var all sync.WaitGroup
+	for i := range max(1, o.Count) {
+		name := fmt.Sprintf("%s.%d", o.Name, os.Getpid())
+		if o.Count > 1 {
+			name = fmt.Sprintf("%s-%d.%d", o.Name, i, os.Getpid())
+		}
+		h := holder.New(holder.Config{Client: call.NewClient(o.Stewards, local), Name: name, Lease: o.Lease,
+			Log: slog.New(slog.NewTextHandler(os.Stderr, nil))})
+		for d := range o.Duties {
+			h.Want(fmt.Sprintf("duty-%d", d), func(ctx context.Context, t *holder.Term) error { return w.work(ctx, name, t) })
+		}
+		all.Go(func() { h.Run(ctx) })
+	}
+	all.Wait()
+	return nil
+}
+
+type worker struct {
+	o    WorkerOptions
+	http *http.Client
+	mu   sync.Mutex
+	out  io.Writer
+}
+
+// write puts a line down: whole, since a line is one write, and there after SIGKILL.
+func (w *worker) write(v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // plain fields only
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.out.Write(append(data, '\n'))
+}
+
+// record is a line of a worker's file.
+type record struct {
+	Claim *Claim `json:"claim,omitempty"`
+	End   *End   `json:"end,omitempty"`
+}
+
+func (w *worker) work(ctx context.Context, name string, t *holder.Term) error {
+	ago := func(at time.Time) time.Duration { return Now() - time.Since(at) }
+	w.write(record{Claim: &Claim{name, t.Duty, t.Epoch, ago(t.Wished), Now()}})
+	var out sync.WaitGroup
+	for n := 0; ctx.Err() == nil; n++ {
+		e := effect{name, t.Duty, t.Epoch, Now()}
+		if !t.Valid() {
+			break
+		}
+		if len(w.o.Receivers) > 0 {
+			// An effect that takes long to arrive does not hold up the next one, nor the end of the term.
+			to := w.o.Receivers[n%len(w.o.Receivers)]
+			out.Go(func() { w.send(to, e) })
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(w.o.Every):
+		}
+	}
+	w.write(record{End: &End{name, t.Duty, t.Epoch, Now(), context.Cause(ctx) == holder.ErrLost}})
+	return nil
+}
+
+func (w *worker) send(to string, e effect) {
+	data, err := json.Marshal(e)
+	if err != nil {
+		panic(err)
+	}
+	if res, err := w.http.Post("http://"+to+"/effect", "application/json", bytes.NewReader(data)); err == nil {
+		res.Body.Close()
+	}
+}
--- a/internal/testbed/experiment/experiment.go
+++ b/internal/testbed/experiment/experiment.go
@@ -35,6 +35,21 @@
 	Load     Load     `toml:"load"`
 	Faults   []Fault  `toml:"fault"`
 	Bounds   []Bound  `toml:"bound"`
+	// Stewards, if given, has no relays and no platform played, but stewards and processes that hold duties.
+	Stewards *Stewards `toml:"stewards"`
+}
+
+// Stewards is fleets of stewards, and of processes that do nothing but hold duties.
+type Stewards struct {
+	Count       Range    `toml:"count"`        // stewards of a fleet; an even one counts as the next odd one
+	Fleets      Range    `toml:"fleets"`       // fleets at once
+	QuickFleets int      `toml:"quick_fleets"` // the same at most under --quick
+	Workers     Range    `toml:"workers"`      // processes of a fleet
+	Holders     int      `toml:"holders"`      // holders in a process; none: one
+	Duties      Range    `toml:"duties"`
+	Lease       Duration `toml:"lease"`
+	Probe       bool     `toml:"probe"`    // somebody claims and gives up a duty, over and over
+	NoFence     bool     `toml:"no_fence"` // receivers take every effect: to see that the judge finds it
 }
 
 // Fleet is the relays.
@@ -51,6 +66,8 @@
 	HoldSeconds Range    `toml:"hold_s"`     // messages that a relay may hold, in seconds of its part of the full load
 	State       string   `toml:"state"`      // durability of a state folder in segments, "process" or "power"; none: in one file
 	Members     bool     `toml:"members"`    // relays are members of their fleet
+	Stewards    int      `toml:"stewards"`   // so many stewards, at which members may hold duties; none: no duties
+	Loners      int      `toml:"loners"`     // but for so many, beside which what a member costs is measured
 	SyncMS      Range    `toml:"sync_ms"`    // what a sync takes, on the testbed's disk
 	Memories    bool     `toml:"memories"`   // relays put down what they know of partners; with State
 }
@@ -151,6 +168,8 @@
 	Share Range  `toml:"share"` // of the relays, or of the traffic of the partners, that it strikes
 	Size  Range  `toml:"size"`  // what it means stands with the kind
 	In    string `toml:"in"`    // "building": those struck all stand in one
+	Even  bool   `toml:"even"`  // with stewards: those of times come at even steps, a third of one early or late
+	Of    string `toml:"of"`    // with stewards: "stewards" (default), "workers", "leader" or "holder"
 }
 
 // Bound is one figure with its limit.
@@ -194,6 +213,11 @@
 	"burst":     "traffic is Size times as much for For",
 	"hostile":   "Size hostile peers a second come to the relays struck",
 	"leave":     "Size of the clients leave before their answer",
+	"empty":     "a steward loses its folder, and joins anew",
+	"older":     "a steward gets an older folder back, and joins anew with an empty one 6 s later",
+	"stewards":  "all stewards are gone for For",
+	"forget":    "a receiver of effects is started anew",
+	"step-down": "a duty's holder is asked to step down, and does not get it back for Size seconds",
 }
 
 // NeedsDisk tells whether the relays have to run on the testbed's disk.
@@ -286,6 +310,9 @@
 	if x.Fleet.State == "" && (x.Fleet.Memories || x.NeedsDisk()) {
 		say("fleet.state: memories and faults of the disk need a folder in segments")
 	}
+	if x.Fleet.Stewards > 0 && !x.Fleet.Members || x.Fleet.Stewards > 5 {
+		say("fleet.stewards: 5 at most, and only members hold duties")
+	}
 	for i, f := range x.Faults {
 		if f.At.Hi+f.Over.Hi >= 1 {
 			say("fault %d: at and over together are a share of the length, under 1", i+1)
@@ -293,7 +320,7 @@
 		if _, ok := FaultKinds[f.Kind]; !ok {
 			say("fault %d: unknown kind %q", i+1, f.Kind)
 		}
-		if slices.Contains(struck, f.Kind) && f.Share.Hi <= 0 {
+		if slices.Contains(struck, f.Kind) && f.Share.Hi <= 0 && x.Stewards == nil {
 			say("fault %d: %s needs a share", i+1, f.Kind)
 		}
 		if f.At.Hi >= 1 {
@@ -303,6 +330,12 @@
 			say("fault %d: in is building or nothing", i+1)
 		}
 	}
+	if s := x.Stewards; s != nil {
+		if s.Count.Lo < 1 || s.Count.Hi > 5 || s.Fleets.Lo < 1 || s.Fleets.Hi > 50 || s.Workers.Lo < 1 || s.Workers.Hi > 15 ||
+			s.Duties.Lo < 1 || s.Duties.Hi > 64 || s.Holders > 64 || s.Lease.D() < 500*time.Millisecond {
+			say("stewards: 1 to 5 stewards, 1 to 50 fleets, 1 to 15 workers with up to 64 holders, 1 to 64 duties, a lease of 500ms at least")
+		}
+	}
 	if len(x.Bounds) == 0 {
 		say("an experiment without a bound shows nothing")
 	}
--- a/internal/testbed/ledger/ledger.go
+++ b/internal/testbed/ledger/ledger.go
@@ -31,6 +31,7 @@
 	Limits   []LimitChange
 	Unknowns []Unknown
 	Views    []ViewChange
+	Traffic  []Traffic
 
 	byTrace map[string]*HandIn
 }
@@ -115,6 +116,13 @@
 	Came, Gone []string // names
 }
 
+// Traffic is what a member's part in its fleet cost the network between two moments.
+type Traffic struct {
+	Relay    int
+	From, To time.Duration
+	Bytes    int64
+}
+
 // Pause is a time for which a process stood still.
 type Pause struct{ From, To time.Duration }
 
@@ -219,6 +227,8 @@
 		l.Unknowns = append(l.Unknowns, x)
 	case ViewChange:
 		l.Views = append(l.Views, x)
+	case Traffic:
+		l.Traffic = append(l.Traffic, x)
 	default:
 		panic(fmt.Sprintf("ledger: no place for %T", x))
 	}
--- a/internal/testbed/plan/plan.go
+++ b/internal/testbed/plan/plan.go
@@ -126,6 +126,9 @@
 // Ways is how many ways hostile peers have.
 const Ways = 8
 
+// Members is how many relays, the first, are members of their fleet if any are.
+func (p *Plan) Members() int { return max(1, len(p.Relays)-p.Experiment.Fleet.Loners) }
+
 // stream is a source of random numbers of its own for each part of a plan: what one part draws does not move another.
 func stream(seed uint64, part string) *rand.Rand {
 	h := fnv.New64a()
--- a/internal/testbed/platform/platform.go
+++ b/internal/testbed/platform/platform.go
@@ -50,6 +50,9 @@
 	return nil, fmt.Errorf("platform: no free ports: %w", last)
 }
 
+// Base is what the ports count from: those from 1 to 15 over it are a run's own.
+func (p *Ports) Base() int { return p.base }
+
 // Release gives them back.
 func (p *Ports) Release() { p.guard.Close() }
 
--- a/internal/testbed/process/config.go
+++ b/internal/testbed/process/config.go
@@ -66,7 +66,7 @@
 	}
 	fees := make([]float64, len(p.Buildings))
 	return map[string]any{
-		"fleet_size": len(p.Relays), "me": r, "zone": p.Relays[r].Building, "zones": p.Buildings, "kinds": kinds, "domain_type": "deliver",
+		"fleet_size": p.Members(), "me": r % p.Members(), "zone": p.Relays[r].Building, "zones": p.Buildings, "kinds": kinds, "domain_type": "deliver",
 		"membership_mode": "push", "weight_kind": "none", "tick_ms": 5, "tiers": []string{"partner-systems"}, "value_by": "request",
 		"over_share_worth": 0.1, "services": services, "realms": realms,
 		"clients": map[string]any{"marks_retry": false},
--- a/internal/testbed/process/disk.go
+++ b/internal/testbed/process/disk.go
@@ -22,7 +22,8 @@
 // own is the environment that the project's own settings and the testbed's disk ask for.
 func (f *Fleet) own(r int, state string) ([]string, error) {
 	x := f.plan.Experiment
-	if x.Fleet.State == "" && !x.Fleet.Members {
+	member := x.Fleet.Members && r < f.plan.Members()
+	if x.Fleet.State == "" && !member {
 		return nil, nil
 	}
 	path := filepath.Join(f.dir, f.plan.Relays[r].Name, "settings.toml")
@@ -30,7 +31,7 @@
 	if x.Fleet.State != "" {
 		text += fmt.Sprintf("[state]\ndurability = %q\nmemories = %v\n", x.Fleet.State, x.Fleet.Memories)
 	}
-	if x.Fleet.Members {
+	if member {
 		at, more := f.ports.Gossip, ""
 		if x.GossipSuffers() {
 			at, more = f.ports.Outside, fmt.Sprintf("advertise = %q\n", f.ports.Outside(r))
@@ -42,6 +43,9 @@
 		text += fmt.Sprintf("[membership]\nfleet = \"testbed\"\nbind = %q\n%sseeds = [%s]\n", f.ports.Gossip(r), more,
 			strings.Join(seeds, ", "))
 	}
+	if member && len(f.Stewards) > 0 {
+		text += fmt.Sprintf("[duties]\nstewards = [\"%s\"]\nfigures = true\n", strings.Join(f.Stewards, `", "`))
+	}
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("process: settings: %w", err)
 	}
--- a/internal/testbed/process/fleet.go
+++ b/internal/testbed/process/fleet.go
@@ -39,12 +39,15 @@
 	platform *platform.Platform
 	program  string // the relay's
 	dir      string // the run's
-	start    *starter
+	start    *Starter
 	ctx      context.Context
 	cancel   context.CancelFunc
 	work     sync.WaitGroup
 	http     *http.Client
 
+	// Stewards are the addresses of those at which members hold duties; set before Start.
+	Stewards []string
+
 	closed sync.Once
 
 	mu     sync.Mutex
@@ -73,7 +76,7 @@
 // New returns a fleet whose files stand in dir. program is the relay's.
 func New(p *plan.Plan, book *ledger.Ledger, ports *platform.Ports, x *platform.Platform, program, dir string) *Fleet {
 	ctx, cancel := context.WithCancel(context.Background())
-	f := &Fleet{plan: p, book: book, ports: ports, platform: x, program: program, dir: dir, start: newStarter(), ctx: ctx, cancel: cancel,
+	f := &Fleet{plan: p, book: book, ports: ports, platform: x, program: program, dir: dir, start: NewStarter(), ctx: ctx, cancel: cancel,
 		http: &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	for range p.Relays {
 		f.relays = append(f.relays, &relay{})
@@ -165,7 +168,7 @@
 	p.cmd.Env = append(p.cmd.Env, own...)
 	p.life = &ledger.Life{Relay: r, Start: f.book.Now(), Ready: ledger.Never, Asked: ledger.Never, End: ledger.Never, Emptied: emptied,
 		Replaces: beside}
-	if err := f.start.start(p.cmd); err != nil {
+	if err := f.start.Start(p.cmd); err != nil {
 		log.Close()
 		return nil, fmt.Errorf("process: start %s: %w", f.plan.Relays[r].Name, err)
 	}
@@ -387,7 +390,7 @@
 	}
 	f.mu.Unlock()
 	f.work.Wait()
-	f.start.end()
+	f.start.End()
 }
 
 // lastLine is the end of a log, for a message.
--- a/internal/testbed/process/starter.go
+++ b/internal/testbed/process/starter.go
@@ -8,12 +8,13 @@
 	"syscall"
 )
 
-// starter starts processes that the kernel kills when the testbed ends, by a crash or SIGKILL too. The kernel goes by the
+// Starter starts processes that the kernel kills when the testbed ends, by a crash or SIGKILL too. The kernel goes by the
 // thread that started them, so that one thread does it and stays.
-type starter struct{ todo chan func() }
+type Starter struct{ todo chan func() }
 
-func newStarter() *starter {
-	s := &starter{todo: make(chan func())}
+// NewStarter returns one that is ready.
+func NewStarter() *Starter {
+	s := &Starter{todo: make(chan func())}
 	go func() {
 		runtime.LockOSThread() // never unlocked: the thread ends with the goroutine, when the run is over
 		for f := range s.todo {
@@ -23,13 +24,13 @@
 	return s
 }
 
-// start starts a command as a process group of its own.
-func (s *starter) start(cmd *exec.Cmd) error {
+// Start starts a command as a process group of its own.
+func (s *Starter) Start(cmd *exec.Cmd) error {
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	done := make(chan error)
 	s.todo <- func() { done <- cmd.Start() }
 	return <-done
 }
 
-// end lets the thread go. Everything that it started has to have ended.
-func (s *starter) end() { close(s.todo) }
+// End lets the thread go. Everything that it started has to have ended.
+func (s *Starter) End() { close(s.todo) }
--- a/internal/testbed/process/watch.go
+++ b/internal/testbed/process/watch.go
@@ -31,7 +31,7 @@
 			disk := diskMB(filepath.Join(f.dir, f.plan.Relays[r].Name, "state"))
 			for _, p := range now {
 				s := ledger.Sample{Relay: r, PID: p.life.PID, At: f.book.Now(), DiskMB: disk}
-				s.MemoryMB, s.CPU = memoryMB(s.PID), processorTime(s.PID)
+				s.MemoryMB, s.CPU = memoryMB(s.PID), ProcessorTime(s.PID)
 				if fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", s.PID)); err == nil {
 					s.Sockets = len(fds)
 				}
@@ -60,8 +60,8 @@
 	return kb / 1024
 }
 
-// processorTime is what a process has used of processors.
-func processorTime(pid int) time.Duration {
+// ProcessorTime is what a process has used of processors.
+func ProcessorTime(pid int) time.Duration {
 	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
 		return 0
@@ -115,7 +115,7 @@
 		return fmt.Errorf("process: %w", err)
 	}
 	burner := exec.Command(self, "burn", "--for", d.String())
-	if err := f.start.start(burner); err != nil {
+	if err := f.start.Start(burner); err != nil {
 		return fmt.Errorf("process: burn: %w", err)
 	}
 	f.mu.Lock()
--- a/internal/testbed/run/run.go
+++ b/internal/testbed/run/run.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/testbed/audit"
+	"onyxroad.dev/onyxroad/internal/testbed/build"
+	"onyxroad.dev/onyxroad/internal/testbed/duties"
 	"onyxroad.dev/onyxroad/internal/testbed/experiment"
 	"onyxroad.dev/onyxroad/internal/testbed/ledger"
 	"onyxroad.dev/onyxroad/internal/testbed/load"
@@ -42,7 +44,7 @@
 	Experiment *experiment.Experiment
 	Seed       uint64
 	Quick      bool
-	Program    string // the relay's
+	Program    string // the relay's; the stewards' stands beside it
 	Revision   string
 	Out        string    // folder for the results; made if it is not there
 	Progress   io.Writer // a line a second; nil: none
@@ -110,8 +112,20 @@
 			return nil, err
 		}
 	}
+	if n := o.Experiment.Fleet.Stewards; n > 0 {
+		starter := process.NewStarter()
+		defer starter.End()
+		c.stewards, err = duties.StartBeside(ctx, n, filepath.Join(filepath.Dir(o.Program), build.Steward), home, ports.Base(), starter)
+		if err != nil {
+			return nil, err
+		}
+		defer c.stewards.Close()
+	}
 	c.fleet = process.New(p, c.book, ports, c.platform, o.Program, home)
 	defer c.fleet.Close()
+	if c.stewards != nil {
+		c.fleet.Stewards = c.stewards.APIs()
+	}
 	c.load = load.New(p, c.book, ports.Relay, c.fleet.Alive)
 	c.platform.Ended = c.load.Ended
 	if err := c.fleet.Start(ctx); err != nil {
@@ -142,6 +156,7 @@
 	book        *ledger.Ledger
 	platform    *platform.Platform
 	fleet       *process.Fleet
+	stewards    *duties.Beside // nil: none
 	load        *load.Load
 	offset, end time.Duration
 }
@@ -157,6 +172,13 @@
 	for i := range c.plan.Faults {
 		all.Go(func() { c.fault(ctx, &c.plan.Faults[i]) })
 	}
+	if c.plan.Experiment.Fleet.Loners > 0 {
+		all.Go(func() {
+			if network.Sleep(ctx, c.offset+c.plan.Length/2-c.book.Now()) == nil {
+				c.fleet.Traffic(ctx, c.plan.Length*2/5)
+			}
+		})
+	}
 	all.Go(func() { c.progress(ctx) })
 	c.load.Run(ctx, c.offset)
 	most := drainMost
@@ -207,6 +229,12 @@
 	if network.Sleep(ctx, c.offset+f.At-c.book.Now()) != nil || c.fleet.Begin(f) {
 		return
 	}
+	if f.Kind == "stewards" {
+		if err := c.stewards.Down(ctx, f.For); err != nil {
+			fmt.Fprintf(os.Stderr, "testbed: %s: %v\n", f.Kind, err)
+		}
+		return
+	}
 	if _, err := c.platform.Begin(f); err != nil {
 		fmt.Fprintf(os.Stderr, "testbed: %s: %v\n", f.Kind, err)
 	}
@@ -245,6 +273,9 @@
 		Breaches: breaches[:min(len(breaches), breachesKept)]}
 	if c.plan.Experiment.Fleet.Members {
 		audit.Views(c.plan, c.book, c.offset, r.Figures)
+		if c.plan.Experiment.Fleet.Loners > 0 {
+			audit.Rest(c.plan, c.book, c.offset, r.Figures)
+		}
 	}
 	r.Figures["lateness_p99_ms"] = c.load.Lateness(99).Seconds() * 1000
 	r.Figures["broken_rules"] = float64(len(breaches))
@@ -257,20 +288,13 @@
 		}
 	}
 	bounds := append([]experiment.Bound{{Name: "broken_rules", Op: "<=", Limit: 0}}, c.o.Experiment.Bounds...)
-	for _, b := range bounds {
-		v, ok := r.Figures[b.Name]
-		if !ok {
-			return nil, fmt.Errorf("run: bound on %q, which no run measures", b.Name)
-		}
-		r.Bounds = append(r.Bounds, Bound{b.Name, v, b.Limit, b.Op, b.Op == "<=" && v <= b.Limit || b.Op == ">=" && v >= b.Limit})
-	}
 	if late := c.load.Lateness(99); late > latenessMost {
 		r.Invalid = fmt.Sprintf("the testbed's own clients were %v late at the 99th percentile, over %v: the machine was too loaded", late, latenessMost)
 	}
 	if err := writeJSON(filepath.Join(c.o.Out, "series.json"), c.series(fates)); err != nil {
 		return nil, err
 	}
-	if err := writeJSON(filepath.Join(c.o.Out, "result.json"), r); err != nil {
+	if err := r.Conclude(bounds, c.o.Out); err != nil {
 		return nil, err
 	}
 	if r.Invalid != "" {
@@ -279,6 +303,21 @@
 	return r, nil
 }
 
+// Conclude holds the figures against their bounds, and writes the result into a folder.
+func (r *Result) Conclude(bounds []experiment.Bound, dir string) error {
+	for _, b := range bounds {
+		v, ok := r.Figures[b.Name]
+		if !ok {
+			return fmt.Errorf("run: bound on %q, which no run measures", b.Name)
+		}
+		r.Bounds = append(r.Bounds, Bound{b.Name, v, b.Limit, b.Op, b.Op == "<=" && v <= b.Limit || b.Op == ">=" && v >= b.Limit})
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return fmt.Errorf("run: %w", err)
+	}
+	return writeJSON(filepath.Join(dir, "result.json"), r)
+}
+
 func writeJSON(path string, v any) error {
 	data, err := json.MarshalIndent(v, "", " ")
 	if err != nil {
