Answer a path with doubled slashes at a steward with 404, and fuzz hellos

Need: malformed requests to a steward get a 4xx. The fuzz target for requests found a path that the library's router redirects.

Cause: http.ServeMux answers a path that is not clean with a redirect before any handler sees it (handler in api.go).

Change: such a path gets 404.

--- a/internal/duty/steward/api.go
+++ b/internal/duty/steward/api.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
 	"strings"
 	"time"
 
@@ -55,7 +56,13 @@
 	m.HandleFunc("GET "+call.PathLeads, serve(s, s.onLeads))
 	m.HandleFunc("GET "+call.PathDuties, serve(s, s.onDuties))
 	m.HandleFunc("GET "+call.PathStewards, serve(s, s.onStewards))
-	return m
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if path.Clean(r.URL.Path) != r.URL.Path { // the library would send the caller elsewhere
+			http.NotFound(w, r)
+			return
+		}
+		m.ServeHTTP(w, r)
+	})
 }
 
 // refused is a request that is answered with a status of its own.
--- a/internal/duty/steward/steward_test.go
+++ b/internal/duty/steward/steward_test.go
@@ -406,3 +406,34 @@
 	}
 }
 func (w *answerTo) Write(p []byte) (int, error) { w.WriteHeader(http.StatusOK); return w.body.Write(p) }
+
+func FuzzHello(f *testing.F) {
+	var good bytes.Buffer
+	if err := writeHello(&good, hello{Fleet: "test", Cluster: "c", Era: 1, From: "a/1", To: "b/2", start: start{3, "boot"}, progress: progress{2, 9}}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good.Bytes())
+	f.Add([]byte("GET / HTTP/1.1\r\n\r\n"))
+	f.Add(append(good.Bytes(), "more"...))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		in := bytes.NewReader(data)
+		h, err := readHello(in)
+		if read := len(data) - in.Len(); read > helloMost {
+			t.Errorf("%d bytes are read", read)
+		}
+		if err != nil {
+			return
+		}
+		// What is taken is a line by itself, and means the same when it is written again.
+		var again bytes.Buffer
+		if err := writeHello(&again, h); err != nil {
+			t.Fatal(err)
+		}
+		if again.Len() > helloMost {
+			return // names that grow by being escaped
+		}
+		if same, err := readHello(&again); err != nil || same != h {
+			t.Errorf("%+v is read again as %+v, %v", h, same, err)
+		}
+	})
+}
