--- a/internal/membership/gossip/fleet.go
+++ b/internal/membership/gossip/fleet.go
@@ -30,8 +30,8 @@
 const (
 	tickEvery     = time.Second
 	gather        = 50 * time.Millisecond
-	gatherMore    = 200 * time.Microsecond // for each member: what a view costs grows with them
-	digestsTo     = 2                      // members that are told of the view each second
+	gatherMore    = time.Millisecond // for each member: what a view costs grows with them
+	digestsTo     = 2                // members that are told of the view each second
 	rejoinFrom    = 2 * time.Second
 	rejoinTo      = 4 * time.Second
 	aloneFrom     = 250 * time.Millisecond
