End a call with the time of the first of its messages, and share calls as decided

Ruled out by copies that also sent notices for some deliveries: answers to single messages, spoilt ones, the log, notices and restarts; left were deliveries by calls of several messages, of which one had ended, its time up, before the answer came. At fault: addSend in relay.go let a call wait for the longest time-out of its messages, launch and send in policy.go gave each its own. What is answered after the first one's time is no delivery of the others.

Change: the module bounds all time-outs of a call by the earliest deadline in it, a message with less time than a usual answer travels alone, and sends carry the number of their call, by which the relay composes it (it had merged all of a step to one route, also those sent apart after a failure).

--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -48,6 +48,7 @@
 
 // call is one request to a host, with one message or several.
 type call struct {
+	number   uint32 // the module's
 	route    string
 	addr     string
 	zone     int
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -905,23 +905,19 @@
 	r.promise(p)
 }
 
-// addSend puts a send into a call: those of one step to one route travel as one, up to what its kind allows.
+// addSend puts a send into the call that the module has decided on.
 func (r *Relay) addSend(calls []*call, m *message, a policy.Action) []*call {
 	t := r.routes[a.Route]
-	most := 1
-	if t.Kind >= 0 && t.Kind < len(r.cfg.Settings.Kinds) {
-		most = max(1, r.cfg.Settings.Kinds[t.Kind].PerCall)
-	}
 	var c *call
 	size := itemSize(m)
 	for _, x := range calls {
 		// Bodies hold so much at most, and many small messages are no reason to have one large one turned away.
-		if x.route == a.Route && len(x.attempts) < most && x.size+size <= bodyMost {
+		if x.number == a.Call && x.size+size <= bodyMost {
 			c = x
 		}
 	}
 	if c == nil {
-		c = &call{route: a.Route, addr: t.addr, zone: t.Zone, sent: time.Now()}
+		c = &call{number: a.Call, route: a.Route, addr: t.addr, zone: t.Zone, sent: time.Now()}
 		calls = append(calls, c)
 	}
 	until := r.started.Add(a.At)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -457,6 +457,20 @@
 	}
 }
 
+// Which messages share a call is decided: after a failure each has its own, though all leave in one step.
+func TestMessagesShareACallAsDecided(t *testing.T) {
+	r := newTestRelay(t)
+	r.routes["s-1"] = target{Listing: policy.Listing{Route: "s-1", Kind: 0, InService: true}, addr: "127.0.0.1:1"}
+	var calls []*call
+	for i, number := range []uint32{1, 1, 2, 3} {
+		m := &message{Message: &wal.Message{Trace: fmt.Sprint(i)}}
+		calls = r.addSend(calls, m, policy.Action{Kind: policy.Send, Route: "s-1", Call: number, At: time.Minute})
+	}
+	if len(calls) != 3 || len(calls[0].attempts) != 2 {
+		t.Errorf("%d calls, want 3, the first with two messages", len(calls))
+	}
+}
+
 // A damaged log may lack sends: what it holds is ended, not repeated.
 func TestADamagedLogRepeatsNothing(t *testing.T) {
 	r := newTestRelay(t)
--- a/policy/api.go
+++ b/policy/api.go
@@ -163,6 +163,7 @@
 	Kind  ActionKind
 	ID    uint32
 	Route string
+	Call  uint32        // Send: its call; those with one number travel together
 	At    time.Duration // Send: time to drop the attempt
 	Delay time.Duration // Refuse: advice to the client; Wake: time from now
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -673,8 +673,8 @@
 			if at < math.MaxInt64 {
 				at = max(at, s.opensAt(r))
 			}
-			if at > s.now {
-				soonest = min(soonest, at)
+			if at > s.now || s.misses(m, r) {
+				soonest = min(soonest, max(at, s.now+time.Millisecond))
 				continue
 			}
 			if r == m.avoid || s.overdue(r) {
@@ -773,17 +773,21 @@
 // the same route: it counts once against a limit.
 func (s *Sender) launch(d *dest) {
 	r := d.candRt
-	c := &call{r: r, sent: s.now, expect: s.now + s.expect(r, lateDevs)}
-	room := s.room(r)
+	c := &call{r: r, sent: s.now, expect: s.now + s.expect(r, lateDevs), ends: d.cand.deadline}
+	s.launched++
+	room, acts := s.room(r), len(s.acts)
 	s.send(d.cand, c)
 	if c.left == 0 {
 		return
 	}
 	for i := 0; c.left < room && i < len(d.queue) && i < scanDepth; {
-		if m := d.queue[i]; m.avoid == r || !s.send(m, c) {
+		if m := d.queue[i]; m.avoid == r || !c.fits(m) || !s.send(m, c) {
 			i++
 		}
 	}
+	for i := range s.acts[acts:] {
+		s.acts[acts+i].At = min(s.acts[acts+i].At, c.ends)
+	}
 	s.begin(c)
 }
 
@@ -796,11 +800,12 @@
 	m.out = append(m.out, attempt{m.sends, c})
 	m.sends++
 	c.left++
+	c.ends = min(c.ends, m.deadline)
 	cut := s.cutAt(m, c.r)
 	if c.cut == 0 || cut < c.cut {
 		c.cut = cut
 	}
-	s.act(Action{Kind: Send, ID: m.id, Route: c.r.Route, At: cut})
+	s.act(Action{Kind: Send, ID: m.id, Route: c.r.Route, Call: s.launched, At: cut})
 	return true
 }
 
--- /dev/null
+++ b/policy/sharing_test.go
@@ -0,0 +1,45 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// takeFor hands in messages of one step, each with its class and the time that it has.
+func takeFor(d *desk, times ...time.Duration) []Action {
+	var evs []Event
+	for i, left := range times {
+		evs = append(evs, Event{Kind: Taken, ID: uint32(i + 1), Class: i % 2 * 2, Left: left})
+	}
+	return d.step(evs...)
+}
+
+// What a call brings after the time of one of its messages is up is no delivery of the others: the platform has let go of it.
+// Seen as messages lost that a whole answer had called delivered.
+func TestACallEndsWithTheFirstOfItsTimes(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "r", Kind: 2})
+	acts := takeFor(d, 2500*ms, 60*time.Second)
+	if len(acts) != 2 || acts[0].Call != acts[1].Call {
+		t.Fatalf("two messages with time for an answer go as %+v, want one call", acts)
+	}
+	for _, a := range acts {
+		if by := d.now + 2500*ms - endMargin; a.At > by {
+			t.Errorf("message %d of a call waits %v past the time of the first", a.ID, a.At-by)
+		}
+	}
+}
+
+func TestAMessageWithNoTimeForAnAnswerTravelsAlone(t *testing.T) {
+	d := newDesk(t, settings(), Listing{Route: "r", Kind: 2})
+	acts := takeFor(d, 700*ms, 60*time.Second)
+	if len(acts) != 1 || acts[0].ID != 1 {
+		t.Fatalf("the first step sends %+v, want message 1 alone", acts)
+	}
+	next := d.wake(time.Millisecond)
+	if len(next) != 1 || next[0].ID != 2 || next[0].Call == acts[0].Call {
+		t.Fatalf("the next sends %+v, want message 2 in a call of its own", next)
+	}
+	if next[0].At < d.now+2*time.Second {
+		t.Errorf("message 2 waits %v for its answer, with no reason to hurry", next[0].At-d.now)
+	}
+}
--- a/policy/slots.go
+++ b/policy/slots.go
@@ -47,3 +47,15 @@
 	}
 	return 1
 }
+
+// fits tells whether a message may travel with those of a call. It ends for all of them with the time of the first whose time
+// is up, since what is answered later is no delivery of the others. So each of them needs the time of an answer.
+func (c *call) fits(m *message) bool {
+	return min(c.ends, m.deadline) >= c.sent+cmp.Or(c.r.mean, leastExpect)
+}
+
+// misses tells whether a call with room that leaves for a route in this step is none for a message: it takes the next.
+func (s *Sender) misses(m *message, r *route) bool {
+	n := len(r.calls) - 1
+	return n >= 0 && r.calls[n].sent == s.now && r.calls[n].left < s.room(r) && !r.calls[n].fits(m)
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -84,6 +84,7 @@
 	sent   time.Duration // when
 	expect time.Duration // overdue after this
 	cut    time.Duration // the first of its messages times out then
+	ends   time.Duration // the time of the first of its messages is up then
 }
 
 // attempt is one message's part in a call.
@@ -144,7 +145,8 @@
 	barred   map[string]bool       // out of use by hand, listed or not
 	scarce   map[int]time.Duration // by kind: connections are scarce until then
 	held     int
-	slots    int // used
+	slots    int    // used
+	launched uint32 // calls
 	shares   []bucket
 	ends     endHeap
 	wakeAt   time.Duration // earliest wake asked for; 0: none
