Try what a restart finds untried: no refusal on a guessed pace

Ruled out: slots, skips, the log and lateness; a trace of restarts showed the refusals in the first step.

Change: a guessed pace lets one call at a time go and does not tell when the next may; the first delivery sets a pace that has each untried message leave within half of its time; such messages are refused by neither release nor makeRoom.

Tests: TestWhatARestartFindsUntriedIsTried and TestAGuessedPaceGoesOnAfterAFailure fail without, pass 100 times with -race.

--- a/policy/pace.go
+++ b/policy/pace.go
@@ -62,14 +62,14 @@
 	g.pace, g.creptAt = g.pace*math.Pow(growth, steps), s.now
 }
 
-// settle replaces a guessed pace by what the first delivery has told: this sender's part of the limit, or none
-// where there is no limit.
+// settle replaces a guessed pace by what the first delivery has told: this sender's part of the limit, or what a restart owes
+// if that is more, or none where there is no limit. Until then one call at a time goes out.
 func (s *Sender) settle(g *gate) {
 	if !g.guessed {
 		return
 	}
-	g.guessed, g.pace = false, 0
+	g.guessed, g.pace, g.tokens, g.tokensAt = false, 0, math.Max(0, g.tokens), s.now
 	if s.limit(g) > 0 {
-		g.pace = s.part(g)
+		g.pace = math.Max(s.part(g), s.owed(g.dest))
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -283,14 +283,11 @@
 // only an outcome can open it.
 func (s *Sender) opensAt(r *route) time.Duration {
 	g := r.gate
-	if !r.open() {
-		return math.MaxInt64
-	}
-	if r.down && len(r.calls) > 0 || s.crammed(r) {
+	if !r.open() || r.down && len(r.calls) > 0 || s.crammed(r) || g.guessed && g.out > 0 {
 		return math.MaxInt64
 	}
 	at := max(g.wait, r.skipUntil, s.coldUntil(r))
-	if g.pace > 0 {
+	if g.pace > 0 && !g.guessed {
 		s.refill(g, paceBurst)
 		if g.tokens < 1 {
 			at = max(at, g.tokensAt+span(g.pace/(1-g.tokens)))
@@ -542,7 +539,7 @@
 		return
 	}
 	for i := len(long.queue) - 1; i >= 0; i-- {
-		if m := long.queue[i]; s.mayRefuse(m) {
+		if m := long.queue[i]; !m.untried() && s.mayRefuse(m) {
 			s.refuse(m)
 			return
 		}
@@ -763,7 +760,7 @@
 // The client may come again elsewhere, to a sender that was told less.
 func (s *Sender) release(d *dest) {
 	for i := len(d.queue) - 1; i >= 0; i-- {
-		if m := d.queue[i]; d.opens < math.MaxInt64 && d.opens >= m.deadline && s.mayRefuse(m) {
+		if m := d.queue[i]; d.opens < math.MaxInt64 && d.opens >= m.deadline && !m.untried() && s.mayRefuse(m) {
 			s.refuse(m)
 		}
 	}
--- a/policy/resume.go
+++ b/policy/resume.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"slices"
 	"time"
 )
@@ -17,7 +18,7 @@
 	if e == nil {
 		return
 	}
-	m.sends = e.Attempts
+	m.sends, m.resumed = e.Attempts, true
 	if e.Ran {
 		s.mark(m, s.now-e.RanAgo, e.RanZone)
 	}
@@ -38,6 +39,21 @@
 	}
 }
 
+// untried tells whether a message was taken on by an earlier process and has had no call. It waits for one: it was promised.
+func (m *message) untried() bool { return m.resumed && m.sends == 0 }
+
+// owed is the rate that has each untried message of a destination leave in half of the time that it has left.
+func (s *Sender) owed(d *dest) (rate float64) {
+	n := 0
+	for _, m := range d.queue {
+		if m.untried() {
+			n++
+			rate = math.Max(rate, float64(n)/math.Max(0.1, (m.deadline-s.now).Seconds()/2))
+		}
+	}
+	return rate
+}
+
 // MayStill tells whether a call to a route that was decided earlier may leave at now with these messages. Guards
 // against one that was held up, by a slow connection say, while a drain or a wait was told, or while a message ended
 // or the time in which a repeat of it is dropped did.
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -188,3 +188,63 @@
 		t.Error("a message that is over may leave")
 	}
 }
+
+// backlog is one of so many senders, which has taken up n messages of an earlier process, with no call made for them, for one
+// destination of which a limit is told in answers.
+func backlog(t *testing.T, senders, n int, left time.Duration) *desk {
+	set := settings()
+	set.Senders, set.NoWeights, set.MaxRetryAfter = senders, true, 3*time.Second
+	d := newDesk(t, set, Listing{Route: "a", Kind: 1})
+	var evs []Event
+	for i := range n {
+		evs = append(evs, Event{Kind: Taken, ID: uint32(i + 1), Left: left, Resumed: &Resumed{}})
+	}
+	for _, a := range d.step(evs...) {
+		if a.Kind == Refuse {
+			t.Errorf("message %d given up at the restart with no call", a.ID)
+		}
+	}
+	return d
+}
+
+// A guess at this sender's part of an unknown limit once had half of all that restarts found given up in the first step: the
+// guess said that its destination would not take it in time.
+func TestWhatARestartFindsUntriedIsTried(t *testing.T) {
+	const left = 12 * time.Second
+	d := backlog(t, 300, 6, left)
+	tried, out := 1, uint32(1)
+	begun := d.now
+	for d.now < begun+left/2 {
+		var acts []Action
+		if out > 0 {
+			d.now += 150 * ms
+			acts = d.step(Event{Kind: Finished, ID: out, Route: "a", Outcome: OK, Took: 150 * ms, Ended: true, Report: Report{Told: true, Limit: 20}})
+		} else {
+			acts = d.wake(50 * ms)
+		}
+		out = 0
+		for _, a := range acts {
+			switch a.Kind {
+			case Send:
+				out, tried = a.ID, tried+1
+			case Refuse, Fail:
+				t.Fatalf("message %d given up with %v left and no call", a.ID, left-(d.now-begun))
+			}
+		}
+	}
+	if tried < 6 {
+		t.Errorf("%d of 6 messages tried in half of their time", tried)
+	}
+}
+
+// Where the first call fails the next one shows more than the guess: calls go on, one at a time.
+func TestAGuessedPaceGoesOnAfterAFailure(t *testing.T) {
+	d := backlog(t, 1, 3, 12*time.Second)
+	if acts := d.wake(time.Second); len(acts) > 0 {
+		t.Errorf("%+v beside the first call, whose outcome is yet to come", acts)
+	}
+	d.end(1, "a", Reset, 100*ms, 0)
+	if n := len(d.s.routes["a"].calls); n != 1 {
+		t.Errorf("%d calls out after the first has failed, want the next", n)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -111,6 +111,7 @@
 	avoid    *route // failed this message last
 	ended    bool
 	queued   bool
+	resumed  bool // taken on by an earlier process
 }
 
 // turn is the order of one key.
