Have a client's connection closed by its reader alone: what has been read is answered

Ruled out: requests that were not read, which come again. At fault: drain, makeRoom and close in clients.go closed connections that counted as idle until serve had taken the lock again.

Change: others ask a connection to end (dismiss), by a read deadline in the past under the table's lock; only its own goroutine closes it, and it answers what it has read first. Each phase sets its read deadline under that lock. A hard close is left at the end of the time for answers after SIGTERM.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -62,12 +62,14 @@
 	lingering              // refused, and closed but for what still comes
 )
 
-// client is one connection of a client.
+// client is one connection of a client. Its own goroutine, serve, reads it and closes it: no other knows whether a request has
+// been read. Others ask it to end (dismiss); they close it only where no answer is in time any more.
 type client struct {
 	*conn
-	phase phase // this and since: guarded by clients.mu
-	since time.Time
-	gone  bool
+	phase     phase // this and what follows: guarded by clients.mu
+	since     time.Time
+	dismissed bool // asked to end: a request that has been read still has its answer
+	gone      bool
 }
 
 // clients serves the connections of clients. Where room is short, those that say nothing make way.
@@ -77,11 +79,12 @@
 	most   int // connections
 	roomy  int // with more than so many, none is kept for long
 
-	mu     sync.Mutex
-	room   sync.Cond // signalled when a connection ends or falls idle
-	conns  map[*client]struct{}
-	ending bool // answers end their connections
-	closed bool
+	mu      sync.Mutex
+	room    sync.Cond // signalled when a connection ends or falls idle
+	conns   map[*client]struct{}
+	leaving int  // of them, dismissed
+	ending  bool // answers end their connections
+	closed  bool // none is accepted any more
 }
 
 func newClients(log *slog.Logger, most int, answer func(*client, *http.Request) answer) *clients {
@@ -105,47 +108,59 @@
 			continue
 		}
 		s.makeRoom(false)
-		c := &client{conn: newConn(nc), since: time.Now()}
-		s.mu.Lock()
-		if s.closed {
-			s.mu.Unlock()
+		c := &client{conn: newConn(nc)}
+		if !s.admit(c) {
 			nc.Close()
 			continue
 		}
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
 		go s.serve(c)
 	}
 }
 
-// makeRoom waits until another connection may be held, if need be by closing one; forced, it closes one anyway.
+// admit enters a new connection; false where none is admitted any more.
+func (s *clients) admit(c *client) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	c.since = time.Now()
+	c.SetReadDeadline(c.since.Add(requestFor))
+	return true
+}
+
+// makeRoom waits until another connection may be held, if need be by having one end; forced, it has one end anyway.
 func (s *clients) makeRoom(forced bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	for len(s.conns) >= s.most || forced {
-		if c := s.leastNeeded(now); c != nil {
-			s.drop(c)
-		} else if !forced {
-			s.room.Wait()
+	if c := s.leastNeeded(now); forced && c != nil {
+		s.dismiss(c)
+	}
+	for len(s.conns) >= s.most {
+		if c := s.leastNeeded(now); c != nil && len(s.conns)-s.leaving >= s.most {
+			s.dismiss(c)
 		}
-		forced = false
+		s.room.Wait()
 	}
 	// Clients that ask once and keep their connections must not fill the table for good. The usual ones seldom pay:
 	// theirs are in use.
 	if len(s.conns) > s.roomy {
 		for c := range s.conns {
 			if c.phase == idle && now.Sub(c.since) > spareFor {
-				s.drop(c)
+				s.dismiss(c)
 			}
 		}
 	}
 }
 
-// leastNeeded is the connection to close where room is short; nil if all are being answered.
+// leastNeeded is the connection to end where room is short; nil if all are being answered or about to end.
 func (s *clients) leastNeeded(now time.Time) *client {
 	rank := func(c *client) int {
 		switch age := now.Sub(c.since); {
+		case c.dismissed:
+			return 4
 		case c.phase == silent && age > silentFor:
 			return 1
 		case c.phase == silent || c.phase == idle:
@@ -164,26 +179,56 @@
 	return least
 }
 
-// drop closes a connection and forgets it.
+// dismiss has a connection end as soon as it has read no request that is not answered. Called with mu held.
+func (s *clients) dismiss(c *client) {
+	if !c.dismissed && !c.gone {
+		c.dismissed = true
+		s.leaving++
+		c.SetReadDeadline(longAgo)
+	}
+}
+
+// drop closes a connection and forgets it. Called with mu held.
 func (s *clients) drop(c *client) {
 	if !c.gone {
 		c.gone = true
+		if c.dismissed {
+			s.leaving--
+		}
 		c.Close()
 		delete(s.conns, c)
 		s.room.Broadcast()
 	}
 }
 
-// enter notes what a connection is at; false if it was dropped meanwhile, or is not to be kept.
+// enter notes what a connection is at, and how long it may be read for; false if it was dropped meanwhile, or is to end now.
 func (s *clients) enter(c *client, p phase) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if c.gone {
+		return false
+	}
+	was, from := c.phase, c.since
 	c.phase, c.since = p, time.Now()
-	if p == idle {
+	switch p {
+	case reading:
+		if was != silent { // the time of a first request runs from the connecting
+			from = c.since
+		}
+		c.SetReadDeadline(from.Add(requestFor))
+	case idle:
 		s.room.Signal()
-		return !c.gone && !s.ending
+		if s.ending || c.dismissed {
+			return false
+		}
+		c.SetReadDeadline(c.since.Add(keptFor))
+	case lingering:
+		if c.dismissed {
+			return false
+		}
+		c.SetReadDeadline(c.since.Add(lingerFor))
 	}
-	return !c.gone
+	return true
 }
 
 // bound changes how many connections may be held.
@@ -201,19 +246,19 @@
 	s.ending = true
 }
 
-// drain closes idle connections and has the others closed with their next answer.
+// drain has idle connections end, and the others with their next answer.
 func (s *clients) drain() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ending = true
 	for c := range s.conns {
 		if c.phase == idle {
-			s.drop(c)
+			s.dismiss(c)
 		}
 	}
 }
 
-// close closes the connections that are not being answered, waits for the others until by, and closes them too.
+// close has the connections end on which nothing comes, waits for the others until by, and closes them too.
 func (s *clients) close(by time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -222,8 +267,10 @@
 	for len(s.conns) > 0 {
 		late := !time.Now().Before(by)
 		for c := range s.conns {
-			if late || c.phase == silent || c.phase == idle {
+			if late {
 				s.drop(c)
+			} else if c.phase == silent || c.phase == idle {
+				s.dismiss(c)
 			}
 		}
 		if len(s.conns) > 0 {
@@ -239,20 +286,14 @@
 		defer s.mu.Unlock()
 		s.drop(c)
 	}()
-	by := time.Now().Add(requestFor)
 	for {
-		c.SetReadDeadline(by)
 		c.allow(headMost)
 		if _, err := c.r.Peek(1); err != nil || !s.enter(c, reading) {
 			return
 		}
-		if soon := time.Now().Add(requestFor); soon.Before(by) { // it was idle before
-			c.SetReadDeadline(soon)
-		}
 		if !s.request(c) || !s.enter(c, idle) {
 			return
 		}
-		by = time.Now().Add(keptFor)
 	}
 }
 
@@ -327,7 +368,6 @@
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		half.CloseWrite()
 	}
-	c.SetReadDeadline(time.Now().Add(lingerFor))
 	io.Copy(io.Discard, io.LimitReader(c.Conn, lingerMost))
 	return false
 }
@@ -337,7 +377,7 @@
 	s.mu.Lock()
 	// Clients can hold only so many connections, too: where many are held, those that ask once and stay would keep
 	// the others from connecting, long before the table here is full.
-	last = last || s.ending || len(s.conns) > s.roomy
+	last = last || s.ending || c.dismissed || len(s.conns) > s.roomy
 	s.mu.Unlock()
 	res := http.Response{StatusCode: a.status, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Close: last}
 	if a.again > 0 {
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -5,8 +5,10 @@
 	"bytes"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -352,3 +354,72 @@
 func (readConn) SetReadDeadline(time.Time) error { return nil }
 
 func (c readConn) Read(b []byte) (int, error) { return c.r.Read(b) }
+
+// slowReader is a connection whose owner stands still with what it has read in its hands, until it is let go.
+type slowReader struct {
+	net.Conn
+	has, goOn chan struct{}
+}
+
+func (c *slowReader) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.has <- struct{}{}
+		<-c.goOn
+	}
+	return n, err
+}
+
+// A connection counts as idle until its reader has said otherwise, though the request is read by then. What asked such connections
+// to end once closed them under a request that nobody else would answer.
+func TestARequestThatHasBeenReadIsAnsweredThoughItsConnectionEnds(t *testing.T) {
+	for name, end := range map[string]func(s *clients){
+		"shutting down": func(s *clients) { s.drain() },
+		"out of descriptors": func(s *clients) {
+			s.makeRoom(true)
+		},
+		"the listener is closed": func(s *clients) {
+			done := make(chan struct{})
+			go func() { defer close(done); s.close(time.Now().Add(patience)) }()
+			t.Cleanup(func() { <-done })
+			for asked := 0; asked == 0; runtime.Gosched() {
+				s.mu.Lock()
+				asked = s.leaving
+				s.mu.Unlock()
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newClients(slog.New(slog.DiscardHandler), 8, func(*client, *http.Request) answer { return answer{status: 202} })
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			out := dial(t, l.Addr().String(), "")
+			in, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			slow := &slowReader{in, make(chan struct{}), make(chan struct{})}
+			c := &client{conn: newConn(slow)}
+			if !s.admit(c) {
+				t.Fatal("not admitted")
+			}
+			go s.serve(c)
+			r := bufio.NewReader(out)
+			for i := range 2 {
+				io.WriteString(out, handInText("a", "Content-Length: 4\r\n", "Content-Length: 0\r\n")[:len(handInText("a"))-4])
+				<-slow.has
+				if i == 1 {
+					end(s) // the connection has been idle, and the second request is in the reader's hands
+				}
+				slow.goOn <- struct{}{}
+				if res := read(t, r); res.StatusCode != 202 || res.Close != (i == 1) {
+					t.Fatalf("request %d: status %d, last %v", i+1, res.StatusCode, res.Close)
+				}
+			}
+			closed(t, name, r)
+		})
+	}
+}
