Let no pause before a call to discovery reach beyond when its news counts as told

Suspected from reading, shown by test: a watch that was silent before its first two empty lines, or ended at once, spread its next call over up to 6 s beside its 4.5 s of silence, and one that was turned away waited up to 18 s; a change counts as told 6 s after discovery had it and could be reached, 4 s after a move. At fault: run, wait and spreadMost in discovery.go bounded each pause by itself.

Change: one bound for all pauses, from the last sign of life (inTime); what it cuts off is drawn anew, so that a fleet that is turned away does not come again as one. The time of silence begins before the whole list is asked for, not after. A whole list on the watch that is older than one fetched meanwhile no longer takes its place, after which changes up to the newer version were passed over.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -28,7 +28,11 @@
 	awayMost    = 8 * time.Second
 	spreadFor   = 150 * time.Millisecond // for each relay of a fleet of spreadLeast or more
 	spreadLeast = 7
-	spreadMost  = 6 * time.Second // whatever the list has to tell counts as told by then
+	// Whatever the list has to tell counts as told by then, from when discovery had it and could be reached, or from when a watch
+	// fell silent: no pause, for whatever reason, may reach beyond. After a move it is sooner.
+	toldWithin  = 6 * time.Second
+	movedWithin = 4 * time.Second
+	replyFor    = 500 * time.Millisecond // of that is left for the call
 	// What the agent has counts as told at once: half of the time in which a drain is to be heeded is for asking.
 	askWithin  = 250 * time.Millisecond
 	servedFor  = 2   // empty lines, one every 2 s, after which a watch was served, not ended as one too many
@@ -93,11 +97,14 @@
 	fleet   int            // relays that follow it
 	random  func() float64 // from 0 to 1
 	sleep   func(context.Context, time.Duration)
+	now     func() time.Time
 
-	version int64 // of the list as told
-	held    bool  // the relay holds a list, however old
-	whole   bool  // changes alone won't do: the list is to be had whole
-	served  bool  // the last watch was
+	since   time.Time // what discovery has had since then may have been missed: the last line, or the last call's beginning
+	moved   bool      // and it has not been heard at its new address
+	version int64     // of the list as told
+	held    bool      // the relay holds a list, however old
+	whole   bool      // changes alone won't do: the list is to be had whole
+	served  bool      // the last watch was
 }
 
 // run follows the list until ctx ends.
@@ -117,19 +124,19 @@
 		if w.version != was {
 			pause = retryFirst
 		}
-		soon := spreadMost
+		soon := toldWithin
 		if w.served {
 			pause, soon = retryFirst, askWithin
 		}
 		switch {
 		case errors.Is(err, errMoved):
 			// Another agent need not number its versions alike. The old list serves until this one speaks.
-			w.whole, pause = true, retryFirst
+			w.whole, w.moved, pause = true, true, retryFirst
 		case errors.Is(err, errAway):
-			w.wait(ctx, time.Duration((0.5+w.random())*float64(away))+w.spread(spreadMost))
+			w.wait(ctx, w.inTime(time.Duration((0.5+w.random())*float64(away))+w.spread(toldWithin)))
 			away = min(awayMost, 2*away)
 		default:
-			w.wait(ctx, pause+w.spread(soon))
+			w.wait(ctx, w.inTime(pause+w.spread(soon)))
 			pause, away = min(retryMost, 2*pause), awayFirst
 		}
 	}
@@ -143,12 +150,27 @@
 	return time.Duration(w.random() * float64(min(most, time.Duration(w.fleet)*spreadFor)))
 }
 
+// inTime is a pause that lets the next call be answered before what the last one has missed counts as told. What is cut off is
+// drawn anew: a fleet that is turned away must not come again as one.
+func (w *watcher) inTime(d time.Duration) time.Duration {
+	within := toldWithin
+	if w.moved {
+		within = movedWithin
+	}
+	if most := max(retryFirst, within-replyFor-w.now().Sub(w.since)); d > most {
+		return time.Duration((1 + w.random()) / 2 * float64(most))
+	}
+	return d
+}
+
 // wait lets d pass; less if the agent moves.
 func (w *watcher) wait(ctx context.Context, d time.Duration) {
 	_, here, done := w.agent.here(ctx)
 	defer done()
 	w.sleep(here, d)
-	w.whole = w.whole || errors.Is(context.Cause(here), errMoved)
+	if errors.Is(context.Cause(here), errMoved) {
+		w.whole, w.moved = true, true
+	}
 }
 
 // sleep lets d pass; less if ctx ends.
@@ -166,7 +188,7 @@
 func (w *watcher) follow(ctx context.Context) error {
 	addr, ctx, done := w.agent.here(ctx)
 	defer done()
-	w.served = false
+	w.served, w.since = false, w.now()
 	err := w.stream(ctx, addr)
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
@@ -177,11 +199,11 @@
 func (w *watcher) stream(ctx context.Context, addr string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	silence := time.AfterFunc(w.silence, cancel)
+	defer silence.Stop()
 	if w.whole && w.fetch(ctx, addr) != nil {
 		w.version = 0 // the watch itself may give the whole list
 	}
-	silence := time.AfterFunc(w.silence, cancel)
-	defer silence.Stop()
 	res, err := w.get(ctx, fmt.Sprintf("http://%s/catalog/members?stream=1&index=%d", addr, w.version))
 	if err != nil {
 		return err
@@ -193,13 +215,14 @@
 	fetched := int64(math.MinInt64) // changes up to this version are in the whole list that was fetched meanwhile
 	for lines.Scan() {
 		silence.Reset(w.silence)
+		w.since = w.now()
 		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
 			l, err := parseList(line)
 			if err != nil {
 				// Asked for once more it would be as unreadable, for ever: the whole list makes up for it.
 				w.log.Warn("unreadable line of the watch", "err", err)
 				w.whole = true
-			} else if l.Full || l.Version > fetched {
+			} else if l.Version > fetched { // else it was on its way when the whole list was fetched
 				w.take(l)
 			}
 		} else if empty++; empty >= servedFor {
@@ -217,7 +240,7 @@
 }
 
 func (w *watcher) take(l List) {
-	w.version, w.whole = l.Version, w.whole && !l.Full
+	w.version, w.whole, w.moved = l.Version, w.whole && !l.Full, false
 	w.told(l)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -224,7 +224,7 @@
 	go r.finals.run(talk)
 	list := watcher{
 		log: r.log, agent: r.agent, silence: watchSilence, version: r.cfg.Known.Version,
-		fleet: r.cfg.Settings.Senders, random: rand.Float64, sleep: sleep,
+		fleet: r.cfg.Settings.Senders, random: rand.Float64, sleep: sleep, now: time.Now,
 		// A list that the process before handed over has to be followed at once: together the two know no less.
 		held: len(r.cfg.Known.Entries) > 0 && r.parent == nil,
 		told: func(l List) { r.post(l) },
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -255,7 +255,7 @@
 	defer cancel()
 	w := watcher{
 		log: quiet(), agent: newAgent(addrOf(s)), silence: 50 * time.Millisecond, version: 4,
-		told: func(l List) { told <- l }, sleep: sleep,
+		told: func(l List) { told <- l }, sleep: sleep, now: time.Now,
 	}
 	go w.run(ctx)
 	for _, want := range []string{"4", "9"} {
@@ -277,10 +277,10 @@
 		held  bool
 		want  string
 	}{
-		{3, true, "[0s 1s 2s 4s 8s 8s 50ms 1s 100ms]"},
-		{40, true, "[125ms 4s 5s 7s 11s 11s 3.05s 4s 3.1s]"},
-		{300, true, "[125ms 4s 5s 7s 11s 11s 3.05s 4s 3.1s]"}, // no longer than news may take
-		{40, false, "[4s 5s 7s 11s 11s 3.05s 4s 3.1s]"},       // nothing to go by: no wait at first
+		{3, true, "[0s 1s 2s 4s 4.125s 4.125s 50ms 1s 100ms]"}, // no longer than news may take, 6 s and what a call takes
+		{40, true, "[125ms 4s 5s 4.125s 4.125s 4.125s 3.05s 4s 3.1s]"},
+		{300, true, "[125ms 4s 5s 4.125s 4.125s 4.125s 3.05s 4s 3.1s]"},
+		{40, false, "[4s 5s 4.125s 4.125s 4.125s 3.05s 4s 3.1s]"}, // nothing to go by: no wait at first
 	} {
 		var calls atomic.Int32
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
@@ -290,9 +290,10 @@
 		}))
 		ctx, cancel := context.WithCancel(t.Context())
 		var pauses []time.Duration
+		start := time.Now()
 		w := watcher{
 			log: quiet(), agent: newAgent(addrOf(s)), silence: patience, fleet: c.fleet, held: c.held,
-			random: func() float64 { return 0.5 },
+			random: func() float64 { return 0.5 }, now: func() time.Time { return start },
 			sleep: func(_ context.Context, d time.Duration) {
 				if pauses = append(pauses, d); calls.Load() == 8 {
 					cancel()
@@ -308,6 +309,68 @@
 	}
 }
 
+// Whatever became of a call, what discovery has had since counts as told 6 s later, 4 s after a move. A watch that was silent from the
+// start, or ended at once, once spread its next call over 6 s more, and one that was turned away over 18.
+func TestNoPauseReachesBeyondWhenNewsCountsAsTold(t *testing.T) {
+	hang := func(w http.ResponseWriter, req *http.Request) {
+		w.(http.Flusher).Flush()
+		<-req.Context().Done()
+	}
+	for name, c := range map[string]struct {
+		answer http.HandlerFunc // nil: nobody is there
+		took   time.Duration    // the call, by the watcher's clock
+		moved  bool
+		most   time.Duration
+	}{
+		"down":                   {nil, 0, false, 5500 * time.Millisecond},
+		"down after a move":      {nil, 0, true, 3500 * time.Millisecond},
+		"turned away":            {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, 0, false, 5500 * time.Millisecond},
+		"ended at once":          {func(http.ResponseWriter, *http.Request) {}, 0, false, 5500 * time.Millisecond},
+		"hanging":                {func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() }, watchSilence, false, time.Second},
+		"silent from the start":  {hang, watchSilence, false, time.Second},
+		"silent after its start": {func(w http.ResponseWriter, req *http.Request) { fmt.Fprint(w, "\n"); hang(w, req) }, watchSilence, false, time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr := "127.0.0.1:1"
+			if c.answer != nil {
+				s := httptest.NewServer(c.answer)
+				defer s.Close()
+				addr = addrOf(s)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			clock, pauses := time.Now(), 0
+			w := watcher{
+				log: quiet(), agent: newAgent(addr), silence: 20 * time.Millisecond, fleet: 300, moved: c.moved,
+				random: func() float64 { return 1 },
+				now:    func() time.Time { return clock },
+			}
+			w.sleep = func(_ context.Context, d time.Duration) {
+				if d > c.most || d < retryFirst {
+					t.Errorf("pause %d lasts %v, want %v at most", pauses+1, d, c.most)
+				}
+				if pauses++; pauses == 6 {
+					cancel()
+				}
+				clock = clock.Add(d)
+			}
+			// A call takes its time between its last sign of life and the pause.
+			w.log = slog.New(ends{slog.DiscardHandler, func() { clock = clock.Add(c.took) }})
+			w.run(ctx)
+		})
+	}
+}
+
+// ends is a log handler that is told of each line.
+type ends struct {
+	slog.Handler
+	line func()
+}
+
+func (h ends) Enabled(context.Context, slog.Level) bool { return true }
+
+func (h ends) Handle(context.Context, slog.Record) error { h.line(); return nil }
+
 // Relays of a fleet of 300 once went without a list for up to 45 s after their start, or after a watch that had been
 // served, and sent to what drained meanwhile.
 func TestAServedWatchIsBegunAnewSoon(t *testing.T) {
@@ -320,7 +383,7 @@
 	var pauses []time.Duration
 	w := watcher{
 		log: quiet(), agent: newAgent(addrOf(s)), silence: patience, fleet: 300, held: true,
-		random: func() float64 { return 1 },
+		random: func() float64 { return 1 }, now: time.Now,
 		sleep: func(_ context.Context, d time.Duration) {
 			if pauses = append(pauses, d); len(pauses) == 3 {
 				cancel()
@@ -348,7 +411,7 @@
 	agent := newAgent(addrOf(away))
 	w := watcher{
 		log: quiet(), agent: agent, silence: patience, version: 4, told: func(l List) { told <- l; cancel() },
-		random: func() float64 { return 0.5 },
+		random: func() float64 { return 0.5 }, now: time.Now,
 		sleep: func(here context.Context, _ time.Duration) {
 			agent.move(addrOf(s))
 			<-here.Done()
@@ -382,7 +445,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
 	defer func() { cancel(); <-ended }()
-	w := watcher{log: quiet(), agent: newAgent(addrOf(s)), silence: patience, version: 4, told: func(l List) { told <- l }, sleep: sleep}
+	w := watcher{log: quiet(), agent: newAgent(addrOf(s)), silence: patience, version: 4, told: func(l List) { told <- l }, sleep: sleep, now: time.Now}
 	go func() { w.run(ctx); close(ended) }()
 	for _, want := range []int64{7, 8} {
 		select {
