Name the file and the reason where a configuration is refused, also at SIGHUP

From reading: an unreadable configuration was refused without the file's name, senseless settings only later and by no name, and one at SIGHUP whose discovery is no address was taken on, after which every call failed.

Test: TestABadConfigurationIsRefusedByName, seven files at the start and at SIGHUP.

--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"os"
 	"slices"
 	"strconv"
@@ -69,17 +70,29 @@
 		return Config{}, err
 	}
 	c.Discovery = cmp.Or(c.Discovery, getenv("ROUTER_DISCOVERY"))
-	return c, nil
+	return c, c.reachable(getenv("ROUTER_CONFIG"))
+}
+
+// reachable tells what keeps discovery's address, which path or the environment names, from being one.
+func (c *Config) reachable(path string) error {
+	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
+		return fmt.Errorf("config: %s: discovery: %w", path, err)
+	}
+	return nil
 }
 
 func readConfig(getenv func(string) string) (Config, error) {
-	data, err := os.ReadFile(getenv("ROUTER_CONFIG"))
+	path := getenv("ROUTER_CONFIG")
+	data, err := os.ReadFile(path)
 	if err != nil {
-		return Config{}, fmt.Errorf("config: %w", err)
+		return Config{}, fmt.Errorf("config: %w", err) // which names the file
 	}
 	c, err := parseConfig(data)
+	if err == nil {
+		err = c.Settings.Check()
+	}
 	if err != nil {
-		return Config{}, fmt.Errorf("config: %w", err)
+		return Config{}, fmt.Errorf("config: %s: %w", path, err)
 	}
 	return c, nil
 }
@@ -102,7 +115,7 @@
 	if c.Listen == "" || c.Discovery == "" || c.StateDir == "" {
 		return Config{}, errors.New("config: ROUTER_LISTEN, ROUTER_DISCOVERY and ROUTER_STATE must be set")
 	}
-	return c, nil
+	return c, c.reachable(getenv("ROUTER_CONFIG"))
 }
 
 func parseConfig(data []byte) (Config, error) {
--- /dev/null
+++ b/internal/relay/config_test.go
@@ -0,0 +1,40 @@
+package relay
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// A file without sense is refused with its name and a reason, at the start as well as at SIGHUP, where the old one stays.
+func TestABadConfigurationIsRefusedByName(t *testing.T) {
+	const good = `{"discovery":"127.0.0.1:8500","listen":"127.0.0.1:0","settings":{"services":[{"name":"a"}]}}`
+	path := filepath.Join(t.TempDir(), "config.json")
+	getenv := func(name string) string {
+		return map[string]string{"ROUTER_CONFIG": path, "ROUTER_STATE": t.TempDir()}[name]
+	}
+	for name, c := range map[string]struct{ text, reason string }{
+		"good":                {good, ""},
+		"empty":               {"", "unexpected end"},
+		"half a file":         {good[:len(good)/2], "unexpected end"},
+		"settings of no kind": {`{"settings":7}`, "settings"},
+		"no class":            {`{"settings":{}}`, "no class"},
+		"a negative count":    {strings.Replace(good, `"settings":{`, `"settings":{"bounds":{"send_cap":-1},`, 1), "negative count"},
+		"no address":          {strings.Replace(good, "127.0.0.1:8500", "nowhere", 1), "nowhere"},
+	} {
+		if err := os.WriteFile(path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		for _, read := range []func(func(string) string) (Config, error){LoadConfig, ReloadConfig} {
+			_, err := read(getenv)
+			if c.reason == "" {
+				if err != nil {
+					t.Errorf("%s: %v", name, err)
+				}
+			} else if err == nil || !strings.Contains(err.Error(), path) || !strings.Contains(err.Error(), c.reason) {
+				t.Errorf("%s: %v, want %s and %q in it", name, err, path, c.reason)
+			}
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -104,7 +104,7 @@
 
 // New returns a Sender that knows nothing but its settings.
 func New(set Settings, seed uint64) (*Sender, error) {
-	if err := set.check(); err != nil {
+	if err := set.Check(); err != nil {
 		return nil, err
 	}
 	set.Senders = max(1, set.Senders)
--- a/policy/state.go
+++ b/policy/state.go
@@ -480,8 +480,8 @@
 	c.r.calls = slices.DeleteFunc(c.r.calls, func(x *call) bool { return x == c })
 }
 
-// check tells what makes no sense in settings.
-func (set *Settings) check() error {
+// Check tells what makes no sense in settings.
+func (set *Settings) Check() error {
 	if len(set.Classes) == 0 {
 		return errors.New("policy: settings name no class")
 	}
