--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -167,23 +167,28 @@
 	return w
 }
 
+// window tells the budget of the window that ends with push i, how many calls reached the route in it, and how many of these came
+// from senders told.
+func (w *fleetWorld) window(i int) (budget, all, told float64) {
+	set, last := fleetSettings(w.c), w.pushes[i]
+	share := set.ColdShare + (1-set.ColdShare)*float64(last.at-fleetReturn)/float64(set.WarmWithin)
+	for _, p := range w.pushes[:i+1] {
+		if p.at > last.at-set.OverloadWindow {
+			all++
+			if p.told {
+				told++
+			}
+		}
+	}
+	return set.OverloadFactor * share * w.c.limit * set.OverloadWindow.Seconds(), all, told
+}
+
 // fell tells whether a window since the return broke failback: more calls than the budget of its length, two
 // standard deviations of it allowed for chance, two thirds of them from senders told. Beside it stands the
 // greatest share of the part of senders told that a window used.
 func (w *fleetWorld) fell() (broken bool, used float64) {
-	set := fleetSettings(w.c)
-	for i, last := range w.pushes {
-		share := set.ColdShare + (1-set.ColdShare)*float64(last.at-fleetReturn)/float64(set.WarmWithin)
-		budget := set.OverloadFactor * share * w.c.limit * set.OverloadWindow.Seconds()
-		all, told := 0.0, 0.0
-		for _, p := range w.pushes[:i+1] {
-			if p.at > last.at-set.OverloadWindow {
-				all++
-				if p.told {
-					told++
-				}
-			}
-		}
+	for i := range w.pushes {
+		budget, all, told := w.window(i)
 		broken = broken || all > budget+2*math.Sqrt(budget) && told >= all*2/3
 		used = math.Max(used, told/(2.0/3*(budget+2*math.Sqrt(budget))))
 	}
@@ -221,20 +226,9 @@
 // over tells by how many calls the worst window since the return passed its budget of N calls and what is chance, 2 roots of N
 // and 2, whoever sent them; and the same of the calls of senders told.
 func (w *fleetWorld) over() (all, told float64) {
-	set := fleetSettings(w.c)
 	all, told = math.Inf(-1), math.Inf(-1)
-	for i, last := range w.pushes {
-		share := set.ColdShare + (1-set.ColdShare)*float64(last.at-fleetReturn)/float64(set.WarmWithin)
-		n := set.OverloadFactor * share * w.c.limit * set.OverloadWindow.Seconds()
-		a, b := 0.0, 0.0
-		for _, p := range w.pushes[:i+1] {
-			if p.at > last.at-set.OverloadWindow {
-				a++
-				if p.told {
-					b++
-				}
-			}
-		}
+	for i := range w.pushes {
+		n, a, b := w.window(i)
 		all, told = math.Max(all, a-n-2*math.Sqrt(n)-2), math.Max(told, b-n-2*math.Sqrt(n)-2)
 	}
 	return all, told
