Keep to the usual rate after a slight doubt only where more than a call waits

Change: the usual rate binds only where more messages wait than the next call takes, which is what poured out.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -477,8 +477,8 @@
 	s.count(g)
 	if r.run++; r.cold && r.back == 0 {
 		r.back, r.cold = s.now, !r.slight
-		if usual := max(s.part(g), s.rate(g)); !r.cold && s.limit(g) > 0 && (g.pace == 0 || g.pace > usual) {
-			g.pace, g.tokens, g.tokensAt, g.creptAt = usual, 0, s.now, s.now
+		if usual := max(s.part(g), s.rate(g)); !r.cold && s.limit(g) > 0 && len(g.dest.queue) > s.room(r) {
+			g.pace, g.tokens, g.tokensAt, g.creptAt = min(cmp.Or(g.pace, usual), usual), 0, s.now, s.now
 		}
 	}
 	s.creep(g)
