Have a step cost the destinations that open, not all that wait

Every step looked at each destination with messages waiting, twice, and the entry of a delivered message stayed in the heap of ends until its time was up wherever one that waits stood before it: hours, at the deadlines ahead. Destinations now wait in a heap by when they open, in the order of before once they do, and ended messages' entries are thrown out when they are half.

--- a/policy/bench_test.go
+++ b/policy/bench_test.go
@@ -49,3 +49,38 @@
 		s.Step(now, []Event{{Kind: Finished, ID: id, Route: route, Outcome: OK, Took: 10 * ms, Ended: true}})
 	}
 }
+
+// BenchmarkStepHeld is a step with one message handed in and delivered while so many are held at 2,000 destinations that
+// take none: it costs what is looked at, and not what is held.
+func BenchmarkStepHeld(b *testing.B) {
+	for _, held := range []int{0, 2_000, 10_000, 50_000, 200_000} {
+		b.Run(fmt.Sprintf("held=%d", held), func(b *testing.B) { benchmarkStepHeld(b, held) })
+	}
+}
+
+func benchmarkStepHeld(b *testing.B, held int) {
+	const destinations = 2000
+	s, err := New(settings(), 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	list := []Listing{{Route: "up", Destination: destinations, Weight: 1e9, InService: true}}
+	for d := range destinations {
+		list = append(list, Listing{Route: fmt.Sprint("r", d), Destination: d, Weight: 50})
+	}
+	now := time.Minute
+	evs := []Event{{Kind: ListWhole, List: list}}
+	for i := range held {
+		evs = append(evs, Event{Kind: Taken, ID: uint32(1e9) + uint32(i), Destination: i % destinations, Left: 6 * time.Hour})
+	}
+	s.Step(now, evs)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now += ms
+		id := uint32(i)
+		if len(s.Step(now, []Event{{Kind: Taken, ID: id, Destination: destinations, Left: time.Minute}})) == 0 {
+			b.Fatalf("message %d was not sent", i)
+		}
+		s.Step(now, []Event{{Kind: Finished, ID: id, Route: "up", Outcome: OK, Took: ms, Ended: true}})
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -725,13 +725,7 @@
 // dispatch sends what may go, first in order first, while slots last. Destinations that nothing touched since
 // they were found closed are not looked at.
 func (s *Sender) dispatch() {
-	ready := s.ready[:0]
-	for _, d := range s.active {
-		if d.opens <= s.now {
-			ready = append(ready, d)
-			d.cand, d.opens = nil, 0
-		}
-	}
+	ready := s.opened(s.ready[:0])
 	s.ready = ready
 	for s.set.Slots <= 0 || s.slots < s.set.Slots {
 		var best *dest
@@ -752,11 +746,7 @@
 	for _, d := range ready {
 		s.release(d)
 	}
-	for _, d := range s.active {
-		if d.opens > s.now {
-			s.wake(d.opens)
-		}
-	}
+	s.reclose()
 }
 
 // release refuses what waits for nothing: messages of a destination that opens only after their deadlines.
@@ -848,6 +838,7 @@
 
 // endDue gives every message whose time is up its final answer.
 func (s *Sender) endDue() {
+	s.thin()
 	for len(s.ends) > 0 && (s.ends[0].at <= s.now || s.ends[0].m.ended) {
 		m := heap.Pop(&s.ends).(end).m
 		switch {
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"container/heap"
 	"errors"
 	"math"
 	"math/rand/v2"
@@ -73,6 +74,7 @@
 	opens  time.Duration // nothing may go before this unless something touches the destination
 	held   int           // messages not forgotten
 	at     int           // place among the active, from 1; 0: not active
+	slot   int           // place among those that wait for their moment, from 1; 0: not there
 	bareAt time.Duration // when its last route went
 }
 
@@ -137,6 +139,7 @@
 	dests    map[int]*dest     // looked up, never iterated
 	order    []*dest           // by number
 	active   []*dest           // with messages waiting
+	closed   openHeap          // these, by when they open; during a dispatch without those that it looks at
 	ready    []*dest           // scratch of dispatch
 	bare     []*dest           // without routes, until they are forgotten
 	parked   []*turn           // in the order of their rests
@@ -150,6 +153,7 @@
 	launched uint32 // calls
 	shares   []bucket
 	ends     endHeap
+	endsMost int           // entries at which those of ended messages are thrown out
 	wakeAt   time.Duration // earliest wake asked for; 0: none
 	wantWake time.Duration
 	acts     []Action
@@ -231,7 +235,42 @@
 }
 
 // touch has a destination looked at again by the next dispatch.
-func (s *Sender) touch(d *dest) { d.opens = 0 }
+func (s *Sender) touch(d *dest) {
+	d.opens = 0
+	if d.slot > 0 {
+		heap.Fix(&s.closed, d.slot-1)
+	}
+}
+
+// opened takes the destinations out of those that wait whose moment has come, in the order of the active. So a step costs
+// what these are, and not what waits.
+func (s *Sender) opened(ready []*dest) []*dest {
+	from := len(ready)
+	for len(s.closed) > 0 && s.closed[0].opens <= s.now {
+		d := heap.Pop(&s.closed).(*dest)
+		d.cand, d.opens = nil, 0
+		ready = append(ready, d)
+	}
+	slices.SortFunc(ready[from:], func(a, b *dest) int { return a.at - b.at })
+	return ready
+}
+
+// reclose puts those back that a dispatch has looked at, and asks for a wake when the next of all opens.
+func (s *Sender) reclose() {
+	s.ready = s.opened(s.ready) // touched meanwhile: for the next step
+	if len(s.closed) > 0 {
+		s.wake(s.closed[0].opens)
+	}
+	for _, d := range s.ready {
+		if d.at == 0 {
+			continue
+		}
+		if d.opens > s.now {
+			s.wake(d.opens)
+		}
+		heap.Push(&s.closed, d)
+	}
+}
 
 // doubtful tells whether a route of the gate is in doubt.
 func (g *gate) doubtful() bool {
@@ -297,6 +336,7 @@
 	if d.at == 0 {
 		s.active = append(s.active, d)
 		d.at = len(s.active)
+		heap.Push(&s.closed, d)
 	}
 }
 
@@ -312,6 +352,9 @@
 		last := s.active[len(s.active)-1]
 		s.active[d.at-1], last.at = last, d.at
 		s.active, d.at = s.active[:len(s.active)-1], 0
+		if d.slot > 0 {
+			heap.Remove(&s.closed, d.slot-1)
+		}
 	}
 }
 
@@ -356,6 +399,47 @@
 	}
 }
 
+// openHeap is destinations by when they open.
+type openHeap []*dest
+
+func (h openHeap) Len() int { return len(h) }
+
+func (h openHeap) Less(i, j int) bool { return h[i].opens < h[j].opens }
+
+func (h openHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].slot, h[j].slot = i+1, j+1
+}
+
+func (h *openHeap) Push(x any) {
+	d := x.(*dest)
+	*h = append(*h, d)
+	d.slot = len(*h)
+}
+
+func (h *openHeap) Pop() any {
+	old := *h
+	d := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	d.slot = 0
+	return d
+}
+
+// thin throws out the entries of messages that have ended, now and then: one that is delivered would otherwise stay until
+// its time is up, hours perhaps.
+func (s *Sender) thin() {
+	if len(s.ends) < max(s.endsMost, endsLeast) {
+		return
+	}
+	s.ends = slices.DeleteFunc(s.ends, func(e end) bool { return e.m.ended })
+	heap.Init(&s.ends)
+	s.endsMost = 2 * len(s.ends)
+}
+
+// endsLeast is how many entries are worth throwing out.
+const endsLeast = 1024
+
 type end struct {
 	at time.Duration
 	m  *message
