--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -27,17 +27,20 @@
 var errBroken = errors.New("broken")
 
 var cli struct {
-	Run      runCmd      `cmd:"" help:"Play an experiment: exit 0 if all its bounds hold, 1 if one does not or a rule is broken, 2 if it could not be run."`
-	Plan     planCmd     `cmd:"" help:"Print what a seed gives: sizes, faults with their moments and targets, and every message. Runs nothing."`
-	Compare  compareCmd  `cmd:"" help:"Play two revisions in turns on this machine and tell whether they differ beyond noise."`
-	Report   reportCmd   `cmd:"" help:"Write a run's report, Markdown with plots, into its folder."`
-	Breaks   breaksCmd   `cmd:"" help:"Check the judge: play builds that are broken on purpose, and see that each is caught."`
-	Recovery recoveryCmd `cmd:"" help:"Measure one relay: what durability costs, and how long a start takes with how much in its log."`
-	Load     loadCmd     `cmd:"" help:"Check the clients: hand messages to a stand-in that answers at once, and tell how late the clients were."`
-	Faults   faultsCmd   `cmd:"" help:"List the kinds of fault that an experiment may name."`
-	Work     workCmd     `cmd:"" hidden:"" help:"Claim duties, and have effects while they are held."`
-	Burn     burnCmd     `cmd:"" hidden:"" help:"Take all of a core for a while."`
-	StandIn  standInCmd  `cmd:"" hidden:"" name:"stand-in" help:"Answer every request with 202 at once."`
+	Run      runCmd        `cmd:"" help:"Play an experiment: exit 0 if all its bounds hold, 1 if one does not or a rule is broken, 2 if it could not be run."`
+	Plan     planCmd       `cmd:"" help:"Print what a seed gives: sizes, faults with their moments and targets, and every message. Runs nothing."`
+	Compare  compareCmd    `cmd:"" help:"Play two revisions in turns on this machine and tell whether they differ beyond noise."`
+	Report   reportCmd     `cmd:"" help:"Write a run's report, Markdown with plots, into its folder."`
+	Breaks   breaksCmd     `cmd:"" help:"Check the judge: play builds that are broken on purpose, and see that each is caught."`
+	Recovery recoveryCmd   `cmd:"" help:"Measure one relay: what durability costs, and how long a start takes with how much in its log."`
+	Slope    slopeCmd      `cmd:"" help:"Measure how figures grow with a size, and prove the growth laws by predicting the largest size."`
+	Capacity capacityCmd   `cmd:"" help:"Print the tables of docs/CAPACITY.md, worked out from the target and the slopes, or check that a page has them."`
+	Load     loadCmd       `cmd:"" help:"Check the clients: hand messages to a stand-in that answers at once, and tell how late the clients were."`
+	Faults   faultsCmd     `cmd:"" help:"List the kinds of fault that an experiment may name."`
+	Work     workCmd       `cmd:"" hidden:"" help:"Claim duties, and have effects while they are held."`
+	Burn     burnCmd       `cmd:"" hidden:"" help:"Take all of a core for a while."`
+	Child    relayChildCmd `cmd:"" hidden:"" name:"relay-child" help:"Be the relay, or open the log, that a slope measures."`
+	StandIn  standInCmd    `cmd:"" hidden:"" name:"stand-in" help:"Answer every request with 202 at once."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/backlog/damage_test.go
@@ -0,0 +1,210 @@
+package backlog
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"onyxroad.dev/onyxroad/internal/disk/crashdisk"
+)
+
+// filled makes a folder with tables and a log, as the process's end leaves it, with what it holds and all that it ever held.
+func filled(t *testing.T) (d *crashdisk.Disk, m, ever model) {
+	live := crashdisk.New()
+	s, _ := mustOpen(t, small(live))
+	m, ever = model{}, model{}
+	rng := rand.New(rand.NewPCG(8, 8))
+	for id := uint32(1); id <= 600; id += 10 {
+		var put []Entry
+		for i := range uint32(10) {
+			put = append(put, message(id+i, int(id+i)%5, int64(rng.IntN(1000)), int64(rng.IntN(1000)), 1, 200+rng.IntN(800)))
+		}
+		var remove []Ref
+		for range 3 {
+			if e, ok := m[1+rng.Uint32N(id)]; ok {
+				remove = append(remove, e.Ref)
+			}
+		}
+		if err := s.Apply(put, remove); err != nil {
+			t.Fatal(err)
+		}
+		m.apply(put, remove)
+		ever.apply(put, nil)
+	}
+	if wrong := m.agrees(s); wrong != "" {
+		t.Fatal(wrong)
+	}
+	s.db.TestOnlyWaitForCleaning()
+	return live.Copy(), m, ever
+}
+
+// readAll reads a store in each way and tells which messages it found; one that is other than it was put is an error.
+func readAll(s *Store, ever model) (map[uint32]bool, error) {
+	found := map[uint32]bool{}
+	right := func(e Entry) error {
+		if w, ok := ever[e.ID]; !ok || w.Ref != e.Ref || !bytes.Equal(w.Data, e.Data) {
+			return fmt.Errorf("message %d is %v", e.ID, e.Ref)
+		}
+		found[e.ID] = true
+		return nil
+	}
+	var all []Entry
+	for id := range ever {
+		switch e, ok, err := s.Get(id); {
+		case err != nil && !errors.Is(err, ErrDamaged):
+			return nil, err
+		case ok:
+			all = append(all, e)
+		}
+		if _, _, err := s.Find(ever[id].Trace); err != nil && !errors.Is(err, ErrDamaged) {
+			return nil, err
+		}
+	}
+	for dest := range s.Dests() {
+		list, err := s.First(dest, 1000)
+		if err != nil && !errors.Is(err, ErrDamaged) {
+			return nil, err
+		}
+		for i, e := range list {
+			if e.Dest != dest || i > 0 && !(place{list[i-1].Rank, list[i-1].ID}).less(place{e.Rank, e.ID}) {
+				return nil, fmt.Errorf("destination %d lists %v", dest, e.Ref)
+			}
+		}
+		all = append(all, list...)
+	}
+	list, err := s.Due(1<<62, 1000)
+	if err != nil && !errors.Is(err, ErrDamaged) {
+		return nil, err
+	}
+	for _, e := range append(all, list...) {
+		if err := right(e); err != nil {
+			return nil, err
+		}
+	}
+	return found, nil
+}
+
+// damagedFolder opens a damaged folder, reads all, works on it, and opens it again: whatever is there is as it was put, and by
+// the second start all that the store says is in order. It returns how many messages are left and what was set aside.
+func damagedFolder(t *testing.T, d *crashdisk.Disk, m, ever model, logs bool, what string) (left int, found Found) {
+	t.Helper()
+	s, first, err := Open(small(d))
+	if err != nil {
+		t.Fatalf("%s: %v", what, err)
+	}
+	defer func() { s.Close() }()
+	if _, err := readAll(s, ever); err != nil {
+		t.Fatalf("%s: %v", what, err)
+	}
+	if r, err := s.Check(); err != nil && !errors.Is(err, ErrDamaged) {
+		t.Fatalf("%s: the check says %+v, %v", what, r, err)
+	}
+	fresh := message(9000, 3, 5, 5, 1, 100)
+	if err := s.Apply([]Entry{fresh}, nil); err != nil {
+		t.Fatalf("%s: after it: %v", what, err)
+	}
+	s.Close()
+	d = d.Copy()
+	s, again, err := Open(small(d))
+	if err != nil {
+		t.Fatalf("%s: opened again: %v", what, err)
+	}
+	ever = func() model { c := model{}; c.apply([]Entry{fresh}, nil); c.apply(values(ever), nil); return c }()
+	have, err := readAll(s, ever)
+	if err != nil {
+		t.Fatalf("%s: opened again: %v", what, err)
+	}
+	if !have[fresh.ID] {
+		t.Fatalf("%s: what was applied after it is lost", what)
+	}
+	for id := range have {
+		if _, ok := m[id]; !ok && id != fresh.ID && !logs {
+			t.Fatalf("%s: message %d is back", what, id)
+		}
+	}
+	if r, err := s.Check(); err != nil || len(r.Wrong) > 0 || r.Messages != len(have) {
+		t.Fatalf("%s: opened again, %d messages, the check says %+v, %v", what, len(have), r, err)
+	}
+	first.Aside = append(first.Aside, again.Aside...)
+	first.Rebuilt, first.Lost = first.Rebuilt || again.Rebuilt, first.Lost || again.Lost
+	return len(have) - 1, first
+}
+
+func values(m model) (all []Entry) {
+	for _, e := range m {
+		all = append(all, e)
+	}
+	return all
+}
+
+var bitFlips = flag.Int("flips", 3, "bits that are flipped in each file")
+
+// TestFlippedBits flips a drawn bit of each file many times over.
+func TestFlippedBits(t *testing.T) {
+	whole, m, ever := filled(t)
+	names, _ := whole.Names()
+	rng := rand.New(rand.NewPCG(9, 9))
+	kinds := map[string][3]int{} // flips, those told, messages lost
+	for _, name := range names {
+		data, _ := whole.ReadFile(name)
+		for range min(*bitFlips, len(data)) {
+			d, bit := whole.Copy(), rng.IntN(8*len(data))
+			if err := d.Flip(name, bit); err != nil {
+				t.Fatal(err)
+			}
+			what := fmt.Sprintf("bit %d of %s", bit, name)
+			left, found := damagedFolder(t, d, m, ever, strings.HasSuffix(name, ".log"), what)
+			kind := name[strings.LastIndexAny(name, ".-")+1:]
+			if strings.Contains(name, "MANIFEST") || strings.Contains(name, "OPTIONS") {
+				kind = strings.Split(name, "-")[1]
+			}
+			if left < len(m) && kind != "log" && kind != "sst" {
+				t.Errorf("bit %d of %s: %d of %d messages are left", bit, name, left, len(m))
+			}
+			k := kinds[kind]
+			k[0], k[2] = k[0]+1, k[2]+max(0, len(m)-left)
+			if len(found.Aside) > 0 || found.Rebuilt {
+				k[1]++
+			}
+			kinds[kind] = k
+		}
+	}
+	t.Logf("of %d messages; flips, those told, messages lost: %v", len(m), kinds)
+}
+
+// TestMissingAndCutFiles takes files away, and cuts them short.
+func TestMissingAndCutFiles(t *testing.T) {
+	whole, m, ever := filled(t)
+	names, _ := whole.Names()
+	for _, name := range names {
+		data, _ := whole.ReadFile(name)
+		for _, cut := range []int{-1, 0, len(data) / 2, len(data) - 1} {
+			if cut >= len(data) || cut == 0 && len(data) == 0 {
+				continue
+			}
+			d := whole.Copy()
+			what := fmt.Sprintf("%s taken away", name)
+			if cut < 0 {
+				d.Remove(name)
+			} else {
+				what = fmt.Sprintf("%s cut to %d", name, cut)
+				f, err := d.Open(name)
+				if err != nil {
+					t.Fatal(err)
+				}
+				f.Truncate(int64(cut))
+			}
+			left, found := damagedFolder(t, d.Copy(), m, ever, strings.HasSuffix(name, ".log"), what)
+			if left < len(m) && len(found.Aside) == 0 && !strings.HasSuffix(name, ".log") {
+				t.Errorf("%s: %d of %d messages are left, and nothing is told", what, left, len(m))
+			}
+			if found.Lost && strings.HasSuffix(name, ".sst") {
+				t.Errorf("%s: all is lost for one table", what)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/backlog/fail_test.go
@@ -0,0 +1,238 @@
+package backlog
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/disk"
+	"onyxroad.dev/onyxroad/internal/disk/crashdisk"
+)
+
+// TestAFailingDisk has the disk fail in the midst of drawn histories, in each of its ways, and come back. What was applied
+// can be read while it fails, if it can be read at all, and what was refused is there whole or not at all.
+func TestAFailingDisk(t *testing.T) {
+	for _, power := range []bool{true, false} {
+		for _, fails := range []string{"write", "sync", "open", "remove", "syncdir", "write sync open remove syncdir rename"} {
+			t.Run(fmt.Sprintf("power %v %s", power, fails), func(t *testing.T) {
+				failingDisk(t, power, fails)
+			})
+		}
+	}
+}
+
+func failingDisk(t *testing.T, power bool, fails string) {
+	d := crashdisk.New()
+	var broken atomic.Bool
+	d.Fail = func(op, _ string) error {
+		if broken.Load() && strings.Contains(" "+fails+" ", " "+op+" ") {
+			return syscall.ENOSPC
+		}
+		return nil
+	}
+	o := small(d)
+	o.Power = power
+	s, _ := mustOpen(t, o)
+	now := time.Unix(1000, 0)
+	s.now = func() time.Time { return now }
+	rng := rand.New(rand.NewPCG(4, 4))
+	m := model{}
+	refused := 0
+	for i := range 400 {
+		if rng.IntN(10) == 0 {
+			broken.Store(!broken.Load())
+		}
+		var put []Entry
+		for range rng.IntN(6) {
+			put = append(put, message(uint32(1+rng.IntN(60)), rng.IntN(4), int64(rng.IntN(30)), int64(rng.IntN(30)), i,
+				rng.IntN(3000)))
+		}
+		remove := m.draw(rng)
+		err := s.Apply(put, remove)
+		switch {
+		case err == nil:
+			m.apply(put, remove)
+		case !errors.Is(err, ErrDisk) || !errors.Is(err, syscall.ENOSPC):
+			t.Fatalf("change %d: %v", i, err)
+		default:
+			refused++
+			for id, e := range m { // what was there can be read, or has gone with what was refused
+				got, ok, err := s.Get(id)
+				if err != nil {
+					t.Fatalf("change %d: message %d can't be read while the disk fails: %v", i, id, err)
+				}
+				if !ok && !mentions(remove, put, id) || ok && got.Ref != e.Ref && !mentions(remove, put, id) {
+					t.Fatalf("change %d: message %d is %v, %v", i, id, got.Ref, ok)
+				}
+			}
+			broken.Store(false)
+			if err := s.Apply(put, remove); !errors.Is(err, ErrDisk) && err != nil {
+				t.Fatalf("change %d: at once: %v", i, err)
+			}
+			now = now.Add(retry)
+			if err := s.Apply(put, remove); err != nil {
+				t.Fatalf("change %d: the disk is back, and yet: %v", i, err)
+			}
+			m.apply(put, remove)
+		}
+		if i%20 == 0 && !broken.Load() {
+			if wrong := m.agrees(s); wrong != "" {
+				t.Fatalf("change %d: %s", i, wrong)
+			}
+		}
+	}
+	broken.Store(false)
+	now = now.Add(retry)
+	if err := s.Apply(nil, nil); err != nil {
+		t.Fatal(err)
+	}
+	if wrong := m.agrees(s); wrong != "" {
+		t.Fatal(wrong)
+	}
+	if refused == 0 && (power || !strings.Contains(fails, "sync")) {
+		t.Error("nothing was refused")
+	}
+	s.Close()
+	left := d.Copy()
+	o.FS = left
+	s, found := mustOpen(t, o)
+	if wrong := m.agrees(s); wrong != "" || len(found.Aside) > 0 {
+		t.Fatalf("after a start: %s, found %+v", wrong, found)
+	}
+}
+
+func (m model) draw(rng *rand.Rand) (refs []Ref) {
+	for range rng.IntN(6) {
+		if e, ok := m[uint32(1+rng.IntN(60))]; ok {
+			refs = append(refs, e.Ref)
+		}
+	}
+	return refs
+}
+
+func mentions(remove []Ref, put []Entry, id uint32) bool {
+	for _, r := range remove {
+		if r.ID == id {
+			return true
+		}
+	}
+	for _, e := range put {
+		if e.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// TestAFullStore fills a store to its limit, where removals go on, and ends with room again. The limit holds throughout.
+func TestAFullStore(t *testing.T) {
+	const limit = 8 << 20
+	d := crashdisk.New()
+	o := small(d)
+	o.Limit = limit
+	s, _ := mustOpen(t, o)
+	rng := rand.New(rand.NewPCG(6, 6))
+	m := model{}
+	next, full, most := uint32(1), 0, int64(0)
+	for i := range 3000 {
+		if most = max(most, s.Disk()); most > limit {
+			t.Fatalf("change %d: %d bytes on disk of %d", i, s.Disk(), limit)
+		}
+		var put []Entry
+		for range 16 {
+			e := message(next, int(next%7), int64(next), int64(next), 1, 400)
+			for j := range e.Data {
+				e.Data[j] = byte(rng.Uint32())
+			}
+			put = append(put, e)
+			next++
+		}
+		err := s.Apply(put, nil)
+		if err == nil {
+			m.apply(put, nil)
+			continue
+		}
+		if !errors.Is(err, ErrFull) {
+			t.Fatal(err)
+		}
+		full++
+		dest := rng.IntN(7)
+		all, err := s.First(dest, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var remove []Ref
+		for _, e := range all {
+			remove = append(remove, e.Ref)
+		}
+		if err := s.Apply(nil, remove); err != nil {
+			t.Fatalf("removals at the limit: %v", err)
+		}
+		m.apply(nil, remove)
+	}
+	t.Logf("%d messages at the end, refused %d times, %d bytes on disk at most", len(m), full, most)
+	if full == 0 {
+		t.Error("it was never full")
+	}
+	if wrong := m.agrees(s); wrong != "" {
+		t.Fatal(wrong)
+	}
+	for dest := range 7 { // all goes, and the room comes back
+		for s.Count(dest) > 0 {
+			all, err := s.First(dest, 256)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var remove []Ref
+			for _, e := range all {
+				remove = append(remove, e.Ref)
+			}
+			if err := s.Apply(nil, remove); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	last := []Entry{message(next, 1, 1, 1, 1, 10)}
+	err := s.Apply(last, nil)
+	for i := 0; i < 3 && errors.Is(err, ErrFull); i++ { // it begins to sweep, if no sweep goes on
+		s.mu.Lock()
+		w := s.sweeping
+		s.mu.Unlock()
+		if w != nil {
+			<-w.done
+		}
+		s.db.TestOnlyWaitForCleaning()
+		err = s.Apply(last, nil)
+	}
+	if err != nil {
+		t.Fatalf("emptied, with %d bytes on disk: %v", s.Disk(), err)
+	}
+}
+
+// TestAViewOfAFolder has two stores share one disk, each with names of its own.
+func TestAViewOfAFolder(t *testing.T) {
+	d := crashdisk.New()
+	var stores []*Store
+	for _, name := range []string{"a-", "b-"} {
+		o := small(d)
+		o.FS = disk.Prefixed{FS: d, Prefix: name}
+		s, _ := mustOpen(t, o)
+		stores = append(stores, s)
+	}
+	if err := stores[0].Apply([]Entry{message(1, 1, 1, 1, 1, 10)}, nil); err != nil {
+		t.Fatal(err)
+	}
+	if stores[0].Len() != 1 || stores[1].Len() != 0 {
+		t.Fatalf("%d and %d messages", stores[0].Len(), stores[1].Len())
+	}
+	o := small(d)
+	o.FS = disk.Prefixed{FS: d.Copy(), Prefix: "a-"}
+	if s, _ := mustOpen(t, o); s.Len() != 1 {
+		t.Fatalf("%d messages after a crash of both", s.Len())
+	}
+}
--- /dev/null
+++ b/internal/backlog/size_test.go
@@ -0,0 +1,211 @@
+package backlog
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+var (
+	sizeMessages = flag.Int("messages", 30_000, "messages owed where sizes are measured")
+	sizeDests    = flag.Int("dests", 600, "destinations that have them")
+	sizeDir      = flag.String("folder", "", "where they are kept, and added to by a further run; none: a folder of the test's")
+	sizeFor      = flag.Duration("filling", 60*time.Second, "how long a run may fill")
+	sizeDrain    = flag.Int("drain", 10_000, "messages that are removed, most urgent first")
+)
+
+// owing draws a message as a relay would keep it: 400 bytes, half of them random, handed in 4 ms after the one before.
+func owing(rng *rand.Rand, id uint32, dests int) Entry {
+	rank := 1_700_000_000_000_000_000 + int64(id)*4_000_000
+	data := make([]byte, 400)
+	for i := 0; i < 200; i++ {
+		data[i] = byte(rng.Uint32())
+	}
+	copy(data[200:], strings.Repeat(`{"header":"value"}`, 20))
+	ref := Ref{ID: id, Trace: fmt.Sprintf("%016x%016x", rng.Uint64(), rng.Uint64()), Dest: int(id) % dests, Rank: rank,
+		Deadline: rank + 3_600_000_000_000 + int64(rng.IntN(1_000_000_000_000))}
+	return Entry{Ref: ref, Data: data}
+}
+
+func sizeOptions(dir string) Options { return Options{Dir: dir, Name: "n3", Limit: 16 << 30} }
+
+// took keeps how long something took.
+type took []time.Duration
+
+func (t *took) time(do func()) {
+	began := time.Now()
+	do()
+	*t = append(*t, time.Since(began))
+}
+
+func (t took) String() string {
+	slices.Sort(t)
+	if len(t) == 0 {
+		return "none"
+	}
+	var sum time.Duration
+	for _, d := range t {
+		sum += d
+	}
+	return fmt.Sprintf("mean %v, median %v, p99 %v, most %v", sum/time.Duration(len(t)), t[len(t)/2], t[len(t)*99/100], t[len(t)-1])
+}
+
+// usedNow is the heap after a collection, what is resident and the most that was, and the processor time, all of this process.
+func usedNow() string {
+	runtime.GC()
+	debug.FreeOSMemory()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	status, _ := os.ReadFile("/proc/self/status")
+	resident := ""
+	for line := range strings.Lines(string(status)) {
+		if strings.HasPrefix(line, "VmRSS") || strings.HasPrefix(line, "VmHWM") {
+			resident += " " + strings.Join(strings.Fields(line), " ")
+		}
+	}
+	files, _ := os.ReadDir("/proc/self/fd")
+	return fmt.Sprintf("heap %d kB,%s, %d descriptors, processor time %v", m.HeapAlloc>>10, resident, len(files), processor())
+}
+
+func processor() time.Duration {
+	var r syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &r)
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
+
+const fillEnv = "BACKLOG_TEST_FILL"
+
+// TestMain is the process that fills a folder and is killed, if it is told so.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if dir := os.Getenv(fillEnv); dir != "" {
+		if err := fill(dir); err != nil {
+			fmt.Println(err)
+			os.Exit(1)
+		}
+		syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	}
+	os.Exit(m.Run())
+}
+
+func fill(dir string) error {
+	s, found, err := Open(sizeOptions(dir))
+	if err != nil {
+		return err
+	}
+	rng := rand.New(rand.NewPCG(uint64(found.MaxID), 9))
+	var applies took
+	began, cpu := time.Now(), processor()
+	for id := found.MaxID + 1; s.Len() < *sizeMessages && time.Since(began) < *sizeFor; {
+		put := make([]Entry, 0, 256)
+		for range min(256, *sizeMessages-s.Len()) {
+			put = append(put, owing(rng, id, *sizeDests))
+			id++
+		}
+		applies.time(func() { err = s.Apply(put, nil) })
+		if err != nil {
+			return err
+		}
+	}
+	fmt.Printf("filled %d to %d in %v, processor time %v; Apply(256): %v\n", found.Messages, s.Len(),
+		time.Since(began).Round(time.Millisecond), processor()-cpu, applies)
+	fmt.Println("filling:", usedNow())
+	return nil
+}
+
+// TestSizes has a process fill a store and kills it, and measures what a start makes of it. It judges no times.
+func TestSizes(t *testing.T) {
+	dir := *sizeDir
+	if dir == "" {
+		dir = t.TempDir()
+	}
+	child := exec.Command(os.Args[0], "-messages", strconv.Itoa(*sizeMessages), "-dests", strconv.Itoa(*sizeDests), "-filling",
+		sizeFor.String())
+	child.Env = append(os.Environ(), fillEnv+"="+dir)
+	out, err := child.CombinedOutput()
+	t.Logf("%s", out)
+	if child.ProcessState.Sys().(syscall.WaitStatus).Signal() != syscall.SIGKILL {
+		t.Fatal(err)
+	}
+	before, cpu, began := usedNow(), processor(), time.Now()
+	s, found := mustOpen(t, sizeOptions(dir))
+	t.Logf("before: %s", before)
+	t.Logf("open after a kill: %v, processor time %v; %d messages, %d bytes on disk each",
+		time.Since(began), processor()-cpu, found.Messages, s.Disk()/int64(max(1, found.Messages)))
+	t.Logf("open: %s", usedNow())
+	if len(found.Aside) > 0 || found.Messages == 0 {
+		t.Fatalf("found %+v", found)
+	}
+	if found.Messages < *sizeMessages {
+		t.Skipf("%d messages of %d so far", found.Messages, *sizeMessages)
+	}
+	var hits, misses, firsts, dues, applies took
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 2000 {
+		e, ok, err := s.Get(1 + rng.Uint32N(found.MaxID))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if ok {
+			hits.time(func() { _, ok, err = s.Find(e.Trace) })
+			if !ok || err != nil {
+				t.Fatalf("%v isn't found: %v", e.Ref, err)
+			}
+		}
+		trace := fmt.Sprintf("%016x%016x", rng.Uint64(), rng.Uint64())
+		misses.time(func() { _, ok, err = s.Find(trace) })
+		if ok || err != nil {
+			t.Fatalf("%s is found: %v", trace, err)
+		}
+	}
+	t.Logf("Find, there: %v", hits)
+	t.Logf("Find, not there: %v", misses)
+	t.Logf("read: %s", usedNow())
+	now := int64(0)
+	drained := 0
+	for next := found.MaxID + 1; drained < *sizeDrain; {
+		var all []Entry
+		var err error
+		firsts.time(func() { all, err = s.First(rng.IntN(*sizeDests), 256) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		var remove []Ref
+		var put []Entry
+		for _, e := range all {
+			remove = append(remove, e.Ref)
+			put = append(put, owing(rng, next, *sizeDests))
+			next++
+		}
+		drained += len(all)
+		applies.time(func() { err = s.Apply(put, remove) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		dues.time(func() { all, err = s.Due(now, 256) })
+		if err != nil {
+			t.Fatal(err)
+		}
+		if now, _, err = s.NextDue(); err != nil {
+			t.Fatal(err)
+		}
+		now += 1_000_000_000
+	}
+	t.Logf("%d removed and put; First(256): %v", drained, firsts)
+	t.Logf("Apply(256 put, 256 removed): %v", applies)
+	t.Logf("Due(256): %v", dues)
+	t.Logf("%d messages, %d bytes on disk each; %s", s.Len(), s.Disk()/int64(s.Len()), usedNow())
+	began = time.Now()
+	s.Close()
+	t.Logf("closed in %v", time.Since(began))
+}
--- a/internal/disk/tracedisk/tracedisk.go
+++ b/internal/disk/tracedisk/tracedisk.go
@@ -23,6 +23,9 @@
 // "full" (writes fail), "broken" (syncs fail), "slow=50ms" (each sync takes so long).
 const Env = "TESTBED_DISK_TRACE"
 
+// Backlog stands behind the trace's name in that of the backlog's folder.
+const Backlog = ".backlog"
+
 // EnvSync names the variable that, where there is no trace, says how long a sync takes.
 const EnvSync = "TESTBED_DISK_SYNC"
 
--- a/internal/duty/call/call.go
+++ b/internal/duty/call/call.go
@@ -18,6 +18,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/duty"
@@ -193,6 +194,7 @@
 type Client struct {
 	stewards []string // addresses of their APIs
 	http     *http.Client
+	bytes    atomic.Int64
 
 	mu     sync.Mutex
 	leader string // empty: not known
@@ -205,10 +207,39 @@
 	if local != nil {
 		d.LocalAddr = &net.TCPAddr{IP: local}
 	}
-	return &Client{stewards: slices.Clone(stewards), http: &http.Client{Transport: &http.Transport{DialContext: d.DialContext,
-		MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
+	c := &Client{stewards: slices.Clone(stewards)}
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return counted{conn, &c.bytes}, nil
+	}
+	c.http = &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}
+	return c
+}
+
+// counted is a connection whose bytes count.
+type counted struct {
+	net.Conn
+	bytes *atomic.Int64
 }
 
+func (c counted) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c counted) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Bytes is what this client's calls have cost the network so far, both ways.
+func (c *Client) Bytes() int64 { return c.bytes.Load() }
+
 // Close ends idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
--- a/internal/membership/gossip/fleet.go
+++ b/internal/membership/gossip/fleet.go
@@ -77,14 +77,24 @@
 
 // Join is membership.Join.
 func Join(cfg membership.Config, told func(membership.View)) (membership.Fleet, error) {
-	f, err := start(cfg, told)
-	if err != nil {
-		return nil, err
+	return JoinOver(nil)(cfg, told)
+}
+
+// Over puts something between a member and its network.
+type Over func(cfg membership.Config, network memberlist.NodeAwareTransport) memberlist.NodeAwareTransport
+
+// JoinOver is Join over another network, one that can be cut, say; nil: the usual one.
+func JoinOver(over Over) membership.Join {
+	return func(cfg membership.Config, told func(membership.View)) (membership.Fleet, error) {
+		f, err := start(cfg, over, told)
+		if err != nil {
+			return nil, err
+		}
+		return f, nil
 	}
-	return f, nil
 }
 
-func start(cfg membership.Config, told func(membership.View)) (*Fleet, error) {
+func start(cfg membership.Config, over Over, told func(membership.View)) (*Fleet, error) {
 	host, port, err := net.SplitHostPort(cfg.Bind)
 	if err != nil {
 		return nil, fmt.Errorf("membership: bind: %w", err)
@@ -132,6 +142,9 @@
 		c.BindPort = at.GetAutoBindPort()
 		c.AdvertisePort = c.BindPort
 	}
+	if over != nil {
+		c.Transport = over(cfg, at)
+	}
 	f.self.Addr = cmp.Or(cfg.Advertise, net.JoinHostPort(host, strconv.Itoa(c.BindPort)))
 	f.tracker = membership.NewTracker(f.self, cfg.Size, time.Now())
 	if f.list, err = memberlist.Create(c); err != nil {
@@ -219,6 +232,9 @@
 	}
 }
 
+// GatherFor is the time for which a member gathers changes of so many members before it tells a view.
+func GatherFor(present int) time.Duration { return gather + time.Duration(present)*gatherMore }
+
 // tell hands each new view on, and writes a line for it.
 func (f *Fleet) tell(ctx context.Context) {
 	var last membership.View
@@ -231,7 +247,7 @@
 		select { // what comes together is one view
 		case <-ctx.Done():
 			return
-		case <-time.After(gather + time.Duration(last.Present)*gatherMore):
+		case <-time.After(GatherFor(last.Present)):
 		}
 		v := f.View()
 		if v.Version == last.Version {
--- a/internal/membership/gossip/fleet_test.go
+++ b/internal/membership/gossip/fleet_test.go
@@ -17,7 +17,7 @@
 func join(t *testing.T, name, fleet, dir string, views chan membership.View, seeds ...string) *Fleet {
 	t.Helper()
 	f, err := start(membership.Config{Fleet: fleet, Name: name, Building: "north", Version: "v1", Bind: "127.0.0.1:0", Seeds: seeds, Allow: []string{"n*"},
-		Size: 3, StateDir: dir, Log: slog.New(slog.DiscardHandler)}, func(v membership.View) {
+		Size: 3, StateDir: dir, Log: slog.New(slog.DiscardHandler)}, nil, func(v membership.View) {
 		if views != nil {
 			views <- v
 		}
--- a/internal/program/files_testbed.go
+++ b/internal/program/files_testbed.go
@@ -21,3 +21,14 @@
 	}
 	return disk.Dir(dir), nil
 }
+
+// backlogFiles is the backlog's folder on the same emulated disk, with a trace of its own beside the other.
+func backlogFiles(dir string) (disk.FS, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	if trace := os.Getenv(tracedisk.Env); trace != "" {
+		return tracedisk.Open(disk.Dir(dir), trace+tracedisk.Backlog)
+	}
+	return nil, nil
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -15,9 +15,11 @@
 	"path/filepath"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/disk"
 	"onyxroad.dev/onyxroad/internal/membership"
 	"onyxroad.dev/onyxroad/internal/relay"
 	"onyxroad.dev/onyxroad/internal/settings"
@@ -34,6 +36,7 @@
 
   --config FILE   the settings of this project; IVYGAUGE_CONFIG if not given. Without one all of these are off:
                   [state] durability = "process" or "power", memories, memories_every
+                  [backlog] dir, disk_mb, window, share
                   [membership] fleet, bind, advertise, seeds, allow
                   [duties] stewards, lease, figures
                   log_format, log_level
@@ -42,11 +45,27 @@
 Exit: 0 after SIGTERM, 1 if it could not start or go on, 2 for wrong use.
 `
 
-// Fleet is the program beside this one that has what membership takes.
+// Fleet is the program beside this one that has what membership and a backlog take.
 const Fleet = "cherrytrestle-fleet"
 
-// Main runs the program. join joins the fleet, and duties takes part in its duties; nil in the program that can't.
-func Main(join membership.Join, duties func(DutyConfig) relay.Duties) {
+// Parts are what the program is given that only some relays need. None is in the program that starts Fleet in its place.
+type Parts struct {
+	Join    membership.Join                   // joins the fleet
+	Duties  func(DutyConfig) relay.Duties     // takes part in its duties
+	Backlog func(BacklogConfig) relay.Backlog // keeps what is owed beyond a window on disk
+}
+
+// BacklogConfig is how a backlog is kept.
+type BacklogConfig struct {
+	settings.Backlog
+	Power bool
+	Name  string // the relay's
+	FS    disk.FS
+	Log   *slog.Logger
+}
+
+// Main runs the program.
+func Main(parts Parts) {
 	set := flag.NewFlagSet("cherrytrestle", flag.ContinueOnError)
 	set.Usage = func() { fmt.Fprint(os.Stderr, usage) }
 	path := set.String("config", "", "")
@@ -63,7 +82,7 @@
 		fmt.Fprintf(os.Stderr, "cherrytrestle: %q means nothing here\n%s", set.Arg(0), usage)
 		os.Exit(2)
 	}
-	if err := run(*path, join, duties); err != nil {
+	if err := run(*path, parts); err != nil {
 		slog.Error("stopped", "err", err)
 		os.Exit(1)
 	}
@@ -79,7 +98,7 @@
 	Log      *slog.Logger
 }
 
-func run(path string, join membership.Join, duties func(DutyConfig) relay.Duties) error {
+func run(path string, parts Parts) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	reload := make(chan os.Signal, 1) // caught from the start: unhandled, SIGHUP ends the process
@@ -89,7 +108,7 @@
 		return err
 	}
 	slog.SetDefault(own.Logger())
-	if own.Membership != nil && join == nil {
+	if own.Membership != nil && parts.Join == nil || own.Backlog != nil && parts.Backlog == nil {
 		return inPlace()
 	}
 	cfg, err := relay.LoadConfig(os.Getenv)
@@ -105,15 +124,26 @@
 			return err
 		}
 	}
+	if b := own.Backlog; b != nil {
+		if b.Dir, err = ownFolder(b.Dir, cfg.StateDir); err != nil {
+			return err
+		}
+		c := BacklogConfig{Backlog: *b, Power: cfg.Power, Name: cfg.Name, Log: slog.Default()}
+		if c.FS, err = backlogFiles(b.Dir); err != nil {
+			return err
+		}
+		made := parts.Backlog(c)
+		cfg.Backlog = &made
+	}
 	if m := own.Membership; m != nil {
-		cfg.Join, cfg.Membership = join, membership.Config{Fleet: m.Fleet, Name: cfg.Name, Bind: m.Bind, Advertise: m.Advertise,
+		cfg.Join, cfg.Membership = parts.Join, membership.Config{Fleet: m.Fleet, Name: cfg.Name, Bind: m.Bind, Advertise: m.Advertise,
 			Seeds: m.Seeds, Allow: m.Allow, Admin: cfg.Admin, Size: cfg.Settings.Senders, StateDir: cfg.StateDir, Version: version(), Log: slog.Default()}
 		if z := cfg.Settings.Zone; z >= 0 && z < len(cfg.Zones) {
 			cfg.Membership.Building = cfg.Zones[z]
 		}
 	}
 	if d := own.Duties; d != nil {
-		cfg.Duties = duties(DutyConfig{Stewards: d.Stewards, Lease: time.Duration(d.Lease), Figures: d.Figures, Name: cfg.Name,
+		cfg.Duties = parts.Duties(DutyConfig{Stewards: d.Stewards, Lease: time.Duration(d.Lease), Figures: d.Figures, Name: cfg.Name,
 			Admin: cfg.Admin, Log: slog.Default()})
 	}
 	debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * heapShare * (1 << 20)))
@@ -138,6 +168,25 @@
 	return r.Run(ctx)
 }
 
+// ownFolder is a backlog's folder by its whole path; an error if it is the state folder, or one of the two is in the other.
+func ownFolder(dir, state string) (string, error) {
+	dir, err := filepath.Abs(dir)
+	if err != nil {
+		return "", fmt.Errorf("backlog.dir: %w", err)
+	}
+	if state, err = filepath.Abs(state); err != nil {
+		return "", fmt.Errorf("backlog.dir: %w", err)
+	}
+	within := func(a, b string) bool {
+		rel, err := filepath.Rel(b, a)
+		return err == nil && rel != ".." && !strings.HasPrefix(rel, ".."+string(filepath.Separator))
+	}
+	if within(dir, state) || within(state, dir) {
+		return "", fmt.Errorf("backlog.dir: %s is no folder apart from the state folder %s", dir, state)
+	}
+	return dir, nil
+}
+
 // inPlace has the program that can be a member take this one's place: the same process, with the same arguments.
 func inPlace() error {
 	self, err := os.Executable()
@@ -145,7 +194,7 @@
 		return fmt.Errorf("start: %w", err)
 	}
 	path := filepath.Join(filepath.Dir(self), Fleet)
-	return fmt.Errorf("start: [membership] needs %s: %w", path, syscall.Exec(path, os.Args, os.Environ()))
+	return fmt.Errorf("start: [membership] and [backlog] need %s: %w", path, syscall.Exec(path, os.Args, os.Environ()))
 }
 
 // version is the program's: the revision that it was built from, or a digest of itself where that is not in it.
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -17,12 +17,20 @@
 // adminMost bounds the connections of operators' callers. Mute ones make way first, as clients' do.
 const adminMost = 24
 
+const (
+	// countMost is how long every step may look at all routes. Where it takes longer, a share of the time goes to it: the figure
+	// is late then, and the loop is not.
+	countMost  = 100 * time.Microsecond
+	countShare = 100
+)
+
 // figures are what operators read. The loop and the calls write them, the second address reads them: no reader waits
 // for either.
 type figures struct {
 	names                    []string
 	classes                  []classFigures
 	current, size, unhealthy atomic.Int64
+	backlog                  atomic.Pointer[string] // nil: none is kept
 }
 
 // classFigures count the messages of a class, each once, at its first final outcome, and its sends.
@@ -70,6 +78,9 @@
 	fmt.Fprintf(&b, "relay.current:%d|g\n", f.current.Load())
 	fmt.Fprintf(&b, "relay.cluster_size:%d|g\n", f.size.Load())
 	fmt.Fprintf(&b, "relay.cluster_unhealthy:%d|g", f.unhealthy.Load())
+	if text := f.backlog.Load(); text != nil {
+		b.WriteString(*text)
+	}
 	return b.String()
 }
 
@@ -86,9 +97,14 @@
 
 // publish brings the gauges up to date.
 func (r *Relay) publish() {
-	r.figures.current.Store(int64(r.held))
+	r.figures.current.Store(int64(r.held + r.owed.owing()))
 	r.figures.size.Store(int64(len(r.routes)))
-	r.figures.unhealthy.Store(int64(r.sender.Avoided(r.now())))
+	if now := time.Now(); !now.Before(r.countAt) {
+		r.figures.unhealthy.Store(int64(r.sender.Avoided(r.now())))
+		if took := time.Since(now); took > countMost {
+			r.countAt = now.Add(countShare * took)
+		}
+	}
 }
 
 // admin answers a call at the second address.
--- /dev/null
+++ b/internal/relay/backlog_test.go
@@ -0,0 +1,539 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"iter"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/backlog/owed"
+	"onyxroad.dev/onyxroad/internal/disk/crashdisk"
+	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// shelf is a store in memory.
+type shelf struct {
+	all  map[uint32]owed.Entry
+	room int // 0: no end
+	fail error
+}
+
+func (s *shelf) Apply(put []owed.Entry, remove []owed.Ref) error {
+	if s.fail != nil {
+		return s.fail
+	}
+	if s.room > 0 && len(put) > 0 && len(s.all)+len(put) > s.room {
+		return owed.ErrFull
+	}
+	for _, r := range remove {
+		delete(s.all, r.ID)
+	}
+	for _, e := range put {
+		s.all[e.ID] = e
+	}
+	return nil
+}
+
+func (s *shelf) sorted(keep func(owed.Entry) bool, by func(owed.Entry) int64) (all []owed.Entry) {
+	for _, e := range s.all {
+		if keep(e) {
+			all = append(all, e)
+		}
+	}
+	slices.SortFunc(all, func(a, b owed.Entry) int {
+		if d := by(a) - by(b); d != 0 {
+			return int(min(1, max(-1, d)))
+		}
+		return int(a.ID) - int(b.ID)
+	})
+	return all
+}
+
+func (s *shelf) First(dest, n int) ([]owed.Entry, error) {
+	all := s.sorted(func(e owed.Entry) bool { return e.Dest == dest }, func(e owed.Entry) int64 { return e.Rank })
+	return all[:min(n, len(all))], s.fail
+}
+
+func (s *shelf) Due(by int64, n int) ([]owed.Entry, error) {
+	all := s.sorted(func(e owed.Entry) bool { return e.Deadline <= by }, func(e owed.Entry) int64 { return e.Deadline })
+	return all[:min(n, len(all))], s.fail
+}
+
+func (s *shelf) NextDue() (next int64, ok bool, err error) {
+	for _, e := range s.all {
+		if !ok || e.Deadline < next {
+			next, ok = e.Deadline, true
+		}
+	}
+	return next, ok, nil
+}
+
+func (s *shelf) Find(trace string) (owed.Ref, bool, error) {
+	for _, e := range s.all {
+		if e.Trace == trace {
+			return e.Ref, true, nil
+		}
+	}
+	return owed.Ref{}, false, nil
+}
+
+func (s *shelf) Get(id uint32) (owed.Entry, bool, error) {
+	e, ok := s.all[id]
+	return e, ok, nil
+}
+
+func (s *shelf) Len() int { return len(s.all) }
+
+func (s *shelf) Count(dest int) (n int) {
+	for _, e := range s.all {
+		if e.Dest == dest {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *shelf) Dests() iter.Seq2[int, int] {
+	counts := map[int]int{}
+	for _, e := range s.all {
+		counts[e.Dest]++
+	}
+	return maps.All(counts)
+}
+
+func (s *shelf) Disk() int64  { return int64(len(s.all)) }
+func (s *shelf) Close() error { return nil }
+
+func (s *shelf) open() (owed.Store, owed.Found, error) {
+	found := owed.Found{Messages: len(s.all)}
+	for id := range s.all {
+		found.MaxID = max(found.MaxID, id)
+	}
+	return s, found, nil
+}
+
+// backlogged is a relay with a backlog whose loop is not running, and whose jobs run when the test says so.
+type backlogged struct {
+	*Relay
+	t    *testing.T
+	s    *shelf
+	d    *crashdisk.Disk
+	jobs []*job
+}
+
+func newBacklogged(t *testing.T, s *shelf, d *crashdisk.Disk, window int) *backlogged {
+	t.Helper()
+	c, err := parseConfig([]byte(`{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","limits":{"disk_mb":40},"settings":` + settingsJSON +
+		`,"known":{"version":1,"full":true,"servers":[
+		{"id":"s-1","addr":"127.0.0.1:1","zone":"a","kind":"gateway","cell":7,"state":"draining","weight":50},
+		{"id":"s-2","addr":"127.0.0.1:1","zone":"a","kind":"gateway","cell":8,"state":"draining","weight":50}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.StateDir, c.Segments, c.Disk = t.TempDir(), true, d
+	c.Settings.MaxHeld = 0
+	c.Backlog = &Backlog{Open: s.open, Window: window, Share: 0.5}
+	r, err := New(t.Context(), c, quiet())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &backlogged{Relay: r, t: t, s: s, d: d}
+	t.Cleanup(func() { cancel(); r.calls.Wait(); r.hosts.close(); r.wal.Close(); r.lock.Close() })
+	r.callCtx = ctx
+	r.owed.start = func(j *job) { b.jobs = append(b.jobs, j) }
+	r.resume()
+	return b
+}
+
+// settle runs jobs until there is none.
+func (b *backlogged) settle() {
+	b.t.Helper()
+	for range 1000 {
+		b.step(nil)
+		if len(b.jobs) == 0 {
+			return
+		}
+		j := b.jobs[0]
+		b.jobs = b.jobs[1:]
+		j.run(b.s)
+		b.step([]any{j})
+	}
+	b.t.Fatal("the backlog does not come to rest")
+}
+
+func (b *backlogged) hand(n, from, dest int, left time.Duration) {
+	b.t.Helper()
+	for i := range n {
+		in := newHandIn(fmt.Sprintf("m%d", from+i), dest, left)
+		b.step([]any{in})
+		if a, ok := answered(in); !ok || a.status != http.StatusAccepted {
+			b.t.Fatalf("message %d: %+v, %v", from+i, a, ok)
+		}
+	}
+}
+
+// once checks that each message is in one place, and how many there are.
+func (b *backlogged) once(want int) {
+	b.t.Helper()
+	held := 0
+	for id, m := range b.msgs {
+		if _, ok := b.s.all[id]; ok {
+			b.t.Errorf("message %d is in the log and on disk", id)
+		}
+		if !m.ended && b.wal.Owes(m.Message) {
+			held++
+		}
+	}
+	if held+len(b.s.all) != want || b.held+b.owed.owing() != want || b.owed.disk != len(b.s.all) {
+		b.t.Errorf("%d in the log, %d on disk, %d counted, %d of them on disk; want %d", held, len(b.s.all), b.held+b.owed.owing(), b.owed.disk, want)
+	}
+}
+
+func TestWhatTheWindowDoesNotHoldLiesOnDisk(t *testing.T) {
+	b := newBacklogged(t, &shelf{all: map[uint32]owed.Entry{}}, crashdisk.New(), 64)
+	for i := range 10 {
+		b.hand(100, 100*i, 7, time.Hour)
+		b.settle()
+	}
+	b.once(1000)
+	if b.held > 64 || len(b.msgs) > 64 || b.sender.Avoided(b.now()) != 0 {
+		t.Errorf("%d at the module, %d in memory", b.held, len(b.msgs))
+	}
+	// One that is handed in again under its id is known, wherever it lies.
+	for _, id := range []string{"m0", "m999"} {
+		in := newHandIn(id, 7, time.Hour)
+		b.step([]any{in})
+		if a, ok := answered(in); !ok || a.status != http.StatusAccepted {
+			t.Errorf("%s again: %+v, %v", id, a, ok)
+		}
+	}
+	b.settle()
+	b.once(1000)
+	// Another destination has room at once, by its share.
+	b.hand(10, 5000, 8, time.Hour)
+	b.settle()
+	b.once(1010)
+	if c := b.owed.cells[8]; c == nil || c.held != 10 {
+		t.Errorf("a destination with little owed has %+v at the module", c)
+	}
+	// As messages end, others come back, and every one is given to the module once.
+	seen := map[uint32]bool{}
+	for len(seen) < 1010 {
+		before := len(seen)
+		for id, m := range b.msgs {
+			if m.move == staying && !m.ended && m.cell != nil {
+				if seen[id] {
+					t.Fatalf("message %d came back", id)
+				}
+				seen[id] = true
+				b.later = b.delivered(b.later, m)
+			}
+		}
+		b.settle()
+		if len(seen) == before {
+			t.Fatalf("%d came back, and no more", before)
+		}
+	}
+	b.once(0)
+}
+
+func TestTheMostUrgentComesBackFirst(t *testing.T) {
+	b := newBacklogged(t, &shelf{all: map[uint32]owed.Entry{}}, crashdisk.New(), 64)
+	b.hand(64, 0, 7, 3*time.Hour)
+	b.hand(200, 1000, 7, 2*time.Hour)
+	b.hand(1, 2000, 7, time.Hour)
+	b.settle()
+	for _, m := range b.msgs {
+		b.step([]any{withdrawal{m.ID}})
+	}
+	b.settle()
+	if m := b.traces["m2000"]; m == nil || m.cell == nil {
+		t.Error("the most urgent message did not come back first")
+	}
+}
+
+func TestEndsOnDiskAreToldInTime(t *testing.T) {
+	b := newBacklogged(t, &shelf{all: map[uint32]owed.Entry{}}, crashdisk.New(), 64)
+	b.hand(32, 0, 7, time.Hour) // the destination's share
+	b.hand(100, 1000, 7, dueAhead/2)
+	b.hand(5, 2000, 7, time.Hour)
+	b.settle()
+	if n := len(b.finals.queue); n != 100 {
+		t.Fatalf("%d ends told, want 100", n)
+	}
+	for _, n := range b.finals.queue {
+		if n.Status != "deferred" {
+			t.Errorf("%+v", n)
+		}
+		b.step([]any{confirmed{[]uint32{n.id}}})
+	}
+	b.settle()
+	b.once(37)
+	if n := b.figures.of(0).deferred.Load(); n != 100 {
+		t.Errorf("%d counted as deferred", n)
+	}
+}
+
+func TestAFullOrFailingDiskTurnsNewWorkAway(t *testing.T) {
+	for name, spoil := range map[string]func(*shelf){
+		"full":    func(s *shelf) { s.room = 1 },
+		"failing": func(s *shelf) { s.fail = errors.New("sick") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &shelf{all: map[uint32]owed.Entry{}}
+			b := newBacklogged(t, s, crashdisk.New(), 64)
+			spoil(s)
+			b.hand(100, 0, 7, time.Hour)
+			b.settle()
+			in := newHandIn("late", 7, time.Hour)
+			b.step([]any{in})
+			if a, ok := answered(in); !ok || a.status != http.StatusServiceUnavailable || a.again <= 0 {
+				t.Errorf("beyond the window: %+v, %v", a, ok)
+			}
+			b.hand(1, 1000, 8, time.Hour) // the window has room
+			if b.held+b.owed.owing() != 101 || len(s.all) != 0 {
+				t.Errorf("%d owed, %d on disk", b.held+b.owed.owing(), len(s.all))
+			}
+			s.room, s.fail = 0, nil
+			b.owed.tried = time.Time{}
+			b.settle()
+			b.once(101)
+			b.hand(1, 2000, 7, time.Hour)
+		})
+	}
+}
+
+// A client that leaves while its message is on the way to the disk, or there, is owed nothing, and a restart has nothing.
+func TestAWithdrawnMessageLeavesTheDiskBeforeTheLog(t *testing.T) {
+	for _, when := range []string{"before its job", "under its job", "on disk"} {
+		t.Run(when, func(t *testing.T) {
+			b := newBacklogged(t, &shelf{all: map[uint32]owed.Entry{}}, crashdisk.New(), 64)
+			b.hand(33, 0, 7, time.Hour)
+			if len(b.jobs) != 1 {
+				t.Fatalf("%d jobs", len(b.jobs))
+			}
+			// The one under way is of the 33rd message; the 34th waits behind it.
+			in := newHandIn("gone", 7, time.Hour)
+			switch when {
+			case "before its job":
+				b.step([]any{in})
+				b.step([]any{withdrawal{in.m.ID}})
+			case "under its job":
+				b.settle()
+				b.step([]any{in})
+				if len(b.jobs) != 1 {
+					t.Fatalf("%d jobs", len(b.jobs))
+				}
+				b.step([]any{withdrawal{in.m.ID}})
+				if !b.wal.Owes(in.m) {
+					t.Error("it left the log before the disk")
+				}
+			case "on disk":
+				b.step([]any{in})
+				b.settle()
+				b.step([]any{withdrawal{in.m.ID}})
+			}
+			b.settle()
+			b.once(33)
+			if _, ok, _ := b.s.Find("gone"); ok || b.traces["gone"] != nil {
+				t.Error("it is still there")
+			}
+		})
+	}
+}
+
+// In a class that keeps order what comes later goes later, though its time may be up before.
+func TestTheBacklogKeepsAKeysOrder(t *testing.T) {
+	b := newBacklogged(t, &shelf{all: map[uint32]owed.Entry{}}, crashdisk.New(), 64)
+	b.cfg.Settings.Classes[0].Ordered = true
+	rng := rand.New(rand.NewPCG(1, 2))
+	for i := range 200 {
+		in := newHandIn(fmt.Sprintf("m%d", i), 7, time.Second+time.Duration(rng.IntN(10))*time.Second)
+		in.m.Order = "one"
+		b.step([]any{in})
+		if rng.IntN(10) == 0 {
+			b.settle()
+		}
+	}
+	b.settle()
+	last := uint32(0)
+	for last < 200 {
+		ids := slices.Sorted(maps.Keys(b.msgs))
+		if len(ids) == 0 {
+			t.Fatalf("nothing comes back behind %d", last)
+		}
+		for _, id := range ids {
+			if id != last+1 {
+				t.Fatalf("message %d before %d", id, last+1)
+			}
+			last = id
+			b.step([]any{withdrawal{id}})
+		}
+		b.settle()
+	}
+}
+
+// The clock set back over a restart gives no message on disk more time.
+func TestTheClockSetBackGivesNoTimeOnDisk(t *testing.T) {
+	d, s := crashdisk.New(), &shelf{all: map[uint32]owed.Entry{}}
+	b := newBacklogged(t, s, d, 64)
+	b.hand(100, 0, 7, time.Hour)
+	b.settle()
+	b.behind = 50 * time.Minute
+	var err error
+	for range 2 { // it stays so at the start after
+		if b.owed.offset, err = b.clockOffset(); err != nil || b.owed.offset != 50*time.Minute {
+			t.Fatalf("offset %v, %v", b.owed.offset, err)
+		}
+		b.behind = 0
+	}
+	for _, m := range b.msgs {
+		b.step([]any{withdrawal{m.ID}})
+	}
+	b.settle()
+	for _, m := range b.msgs {
+		if left := time.Until(m.Deadline); left > 10*time.Minute {
+			t.Fatalf("%v left", left)
+		}
+	}
+}
+
+var crashStates = flag.Int("crash-states", 1000, "states of log and backlog together that are drawn")
+
+// The process ends at any boundary between log and backlog: whatever was taken on is there once, and what was sent is not
+// taken for untried.
+func TestNoMomentBetweenLogAndBacklogLosesAMessage(t *testing.T) {
+	rng := rand.New(rand.NewPCG(7, 11))
+	for state := 0; state < *crashStates; {
+		s, d := &shelf{all: map[uint32]owed.Entry{}}, crashdisk.New()
+		b := newBacklogged(t, s, d, 64)
+		owes, sent, next := map[string]bool{}, map[string]bool{}, 0
+		var shots []struct {
+			logs       *crashdisk.Disk
+			store      map[uint32]owed.Entry
+			owes, sent map[string]bool
+		}
+		shoot := func(when func() bool) {
+			if !when() {
+				return
+			}
+			shots = append(shots, struct {
+				logs       *crashdisk.Disk
+				store      map[uint32]owed.Entry
+				owes, sent map[string]bool
+			}{d.Crash(func() bool { return true }), maps.Clone(s.all), maps.Clone(owes), maps.Clone(sent)})
+		}
+		often := func() bool { return rng.IntN(4) == 0 }
+		for range 60 {
+			switch rng.IntN(5) {
+			case 0, 1:
+				for range rng.IntN(40) {
+					in := newHandIn(fmt.Sprintf("m%d", next), 7+rng.IntN(2), time.Hour)
+					next++
+					b.step([]any{in})
+					if a, ok := answered(in); ok && a.status == http.StatusAccepted {
+						owes[in.m.Trace] = true
+					}
+				}
+			case 2:
+				for _, id := range slices.Sorted(maps.Keys(b.msgs)) {
+					m := b.msgs[id]
+					if m.move == staying && !m.ended && m.cell != nil && rng.IntN(3) == 0 {
+						if rng.IntN(2) == 0 {
+							if m.sends == 0 { // a send that stays out
+								b.carryOut([]policy.Action{{Kind: policy.Send, ID: id, Route: "s-1", At: b.now() + time.Hour}}, nil)
+								sent[m.Trace] = true
+							}
+						} else if m.sends == 0 {
+							delete(owes, m.Trace)
+							b.step([]any{withdrawal{id}})
+						}
+					}
+				}
+			default:
+				if len(b.jobs) > 0 {
+					j := b.jobs[0]
+					b.jobs = b.jobs[1:]
+					shoot(often)
+					j.run(s)
+					shoot(often) // done, and the loop has not heard
+					b.step([]any{j})
+				} else {
+					b.step(nil)
+				}
+			}
+			shoot(often)
+		}
+		for _, x := range shots {
+			state++
+			_, found, err := wal.OpenWith(wal.Options{FS: x.logs, Limit: 40e6, Format: wal.Format, Name: "n3", Also: withBacklog("n3")})
+			if err != nil {
+				t.Fatal(err)
+			}
+			has := map[string]int{}
+			for _, m := range found.Messages {
+				has[m.Trace]++
+				if e, ok := x.store[m.ID]; ok {
+					if e.Trace != m.Trace {
+						t.Fatalf("state %d: one number for %s and %s", state, e.Trace, m.Trace)
+					}
+					delete(x.store, m.ID) // as a start does
+				}
+				if x.sent[m.Trace] != (m.Attempts > 0) {
+					t.Fatalf("state %d: %s was sent: %v, and the log tells of %d sends", state, m.Trace, x.sent[m.Trace], m.Attempts)
+				}
+			}
+			for _, e := range x.store {
+				if has[e.Trace]++; x.sent[e.Trace] {
+					t.Fatalf("state %d: %s was sent, and lies on disk untried", state, e.Trace)
+				}
+			}
+			for trace := range x.owes {
+				if has[trace] != 1 {
+					t.Fatalf("state %d: %s is there %d times", state, trace, has[trace])
+				}
+			}
+			for trace := range has {
+				if !x.owes[trace] {
+					t.Fatalf("state %d: %s is owed no more, and there", state, trace)
+				}
+			}
+		}
+	}
+}
+
+// A relay that knows of no backlog does not start on the folder while something may lie on disk, and does once nothing is.
+func TestAFolderWithABacklogIsRefusedWithoutOne(t *testing.T) {
+	d := crashdisk.New()
+	b := newBacklogged(t, &shelf{all: map[uint32]owed.Entry{}}, d, 64)
+	b.hand(100, 0, 7, time.Hour)
+	b.settle()
+	plain := wal.Options{Limit: 40e6, Format: wal.Format, Name: "n3"}
+	plain.FS = d.Copy()
+	if _, _, err := wal.OpenWith(plain); !errors.Is(err, wal.ErrOther) {
+		t.Errorf("with messages on disk: %v", err)
+	}
+	for len(b.msgs) > 0 {
+		for _, m := range b.msgs {
+			b.later = b.delivered(b.later, m)
+		}
+		b.settle()
+	}
+	b.once(0)
+	if err := b.endLog(); err != nil {
+		t.Fatal(err)
+	}
+	plain.FS = d.Copy()
+	if _, found, err := wal.OpenWith(plain); err != nil || len(found.Messages) > 0 {
+		t.Errorf("with nothing on disk: %v, %d messages", err, len(found.Messages))
+	}
+}
--- /dev/null
+++ b/internal/relay/carry.go
@@ -0,0 +1,163 @@
+package relay
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// What a step carries out: the module's decisions, first in the log, then on the sockets.
+
+// carryOut does what the module has decided: first in the log, in one write, then on the sockets.
+func (r *Relay) carryOut(acts []policy.Action, waiting []*handIn) {
+	answers := make(map[uint32]answer, len(waiting))
+	for _, in := range waiting {
+		answers[in.as.ID] = answer{status: http.StatusAccepted}
+	}
+	var calls []*call
+	var ended []*message
+	for _, a := range acts {
+		m := r.msgs[a.ID]
+		switch a.Kind {
+		case policy.Send:
+			if m == nil {
+				r.log.Error("send of a message that is not held", "id", a.ID) // a slot less is better than no relay
+				continue
+			}
+			calls = r.addSend(calls, m, a)
+		case policy.Refuse, policy.Fail:
+			if m == nil || m.ended {
+				continue
+			}
+			r.done(m)
+			final := wal.Final{Deferred: a.Kind == policy.Refuse, Again: a.Delay}
+			r.figures.ended(m, final)
+			if _, ok := answers[a.ID]; ok {
+				answers[a.ID] = finalAnswer(final)
+				r.letGo(m)
+				continue
+			}
+			r.wal.Decide(m.Message, final)
+			ended = append(ended, m)
+		case policy.Wake:
+			r.wakeAt = time.Now().Add(a.Delay) // the module keeps one wake in mind, the last that it asked for
+		case policy.CloseIdle:
+			r.hosts.closeIdle(a.Route)
+		}
+	}
+	p := promise{waiting: waiting, answers: answers, ended: ended, calls: calls}
+	// A send that is not in the log must not leave: after a restart it would be made again.
+	switch err := r.record(calls); {
+	case errors.Is(err, wal.ErrWorn):
+		p.unwritten = true
+	case err != nil:
+		r.log.Warn("log not written", "calls", len(calls), "err", err)
+		r.giveBack(calls, policy.ConnectFailed)
+		p.calls = nil
+	}
+	r.promise(p)
+}
+
+// addSend puts a send into the call that the module has decided on.
+func (r *Relay) addSend(calls []*call, m *message, a policy.Action) []*call {
+	t := r.routes[a.Route]
+	var c *call
+	size := itemSize(m)
+	for _, x := range calls {
+		// Bodies hold so much at most, and many small messages are no reason to have one large one turned away.
+		if x.number == a.Call && x.size+size <= bodyMost {
+			c = x
+		}
+	}
+	if c == nil {
+		c = &call{number: a.Call, route: a.Route, addr: t.addr, zone: t.Zone, sent: time.Now()}
+		calls = append(calls, c)
+	}
+	until := r.started.Add(a.At)
+	c.size += size
+	c.attempts = append(c.attempts, &attempt{call: c, m: m, n: m.sends, until: until})
+	r.owed.sends(m)
+	m.sends++
+	m.out++
+	if len(c.attempts) == 1 || until.After(c.until) == r.cfg.MayDuplicate {
+		c.until = until // where a second copy may be out, the rest of a call outlasts one message's time-out
+	}
+	return calls
+}
+
+// record writes the sends of calls and all that was noted in this step.
+func (r *Relay) record(calls []*call) error {
+	var sends []wal.Send
+	for _, c := range calls {
+		for _, a := range c.attempts {
+			sends = append(sends, wal.Send{
+				Message: a.m.Message, Attempt: wal.Attempt{N: a.n, Host: c.route, Zone: c.zone, At: c.sent},
+			})
+		}
+	}
+	if len(sends) == 0 {
+		return r.wal.Flush()
+	}
+	return r.wal.Sent(sends...)
+}
+
+// giveBack ends calls that are not made with an outcome which proves so.
+func (r *Relay) giveBack(calls []*call, as policy.Outcome) {
+	for _, c := range calls {
+		for _, a := range c.attempts {
+			r.later = r.attemptEnded(r.later, a, result{outcome: as})
+		}
+	}
+	r.soon()
+}
+
+// launch makes a call, away from the loop.
+func (r *Relay) launch(c *call) {
+	r.out++
+	r.flying[c] = struct{}{}
+	for _, a := range c.attempts {
+		if a.until.Before(c.until) {
+			a.timer = time.AfterFunc(time.Until(a.until), func() { r.post(cutOff{a}) })
+		}
+	}
+	r.calls.Add(1)
+	go func() {
+		defer r.calls.Done()
+		results := r.hosts.do(r.callCtx, c, func() bool { return r.mayStill(c) })
+		r.post(&callEnd{c, results})
+	}()
+}
+
+// mayStill asks the loop whether a call that was held up may leave.
+func (r *Relay) mayStill(c *call) bool {
+	ids := make([]uint32, 0, len(c.attempts))
+	for _, a := range c.attempts {
+		ids = append(ids, a.m.ID)
+	}
+	reply := make(chan bool, 1)
+	if !r.post(clearance{c.route, ids, reply}) {
+		return false
+	}
+	select {
+	case ok := <-reply:
+		return ok
+	case <-r.over:
+		return false
+	}
+}
+
+// notify queues the notice that ends a message.
+func (r *Relay) notify(m *message) {
+	r.finals.add(newNotice(m.ID, m.Trace, *m.Final))
+}
+
+func newNotice(id uint32, trace string, f wal.Final) notice {
+	n := notice{id: id, ID: trace, Status: "undeliverable"}
+	if f.Deferred {
+		n.Status, n.AgainMS = "deferred", f.Again.Milliseconds()
+	}
+	return n
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -52,6 +52,7 @@
 	Join          membership.Join
 	Membership    membership.Config // with Join
 	Duties        Duties            // nil: none
+	Backlog       *Backlog          // nil: all that is owed is held in memory; needs Segments
 }
 
 // Limits are those of the relay's machine.
--- a/internal/relay/durable.go
+++ b/internal/relay/durable.go
@@ -150,6 +150,11 @@
 		return finalAnswer(*m.Final)
 	}
 	r.figures.of(m.Class).deferred.Add(1)
+	if m.move != staying {
+		m.told = true
+		r.owed.drop(m)
+		return turned
+	}
 	r.done(m)
 	m.told = true
 	r.later = append(r.later, policy.Event{Kind: policy.Withdrawn, ID: m.ID})
@@ -194,9 +199,25 @@
 	if r.cfg.MemoriesEvery > 0 {
 		o.Limit -= 2 * memoriesMost(r.cfg)
 	}
+	if r.cfg.Backlog != nil {
+		// A relay that knows nothing of the backlog would leave what lies there: the folder is not its own.
+		o.Name, o.Also = withBacklog(r.cfg.Name), r.cfg.Name
+	}
 	return o
 }
 
+// withBacklog is the name of a relay's state folder while it may owe messages that lie elsewhere.
+func withBacklog(name string) string { return name + " with a backlog" }
+
+// endLog closes the log. With nothing left on disk the folder is again that of a relay without a backlog.
+func (r *Relay) endLog() error {
+	err := r.owed.close()
+	if r.owed != nil && err == nil && r.heir == nil && r.owed.disk == 0 {
+		err = r.wal.Rename(r.cfg.Name)
+	}
+	return errors.Join(err, r.wal.Close())
+}
+
 // resumeAt sets messages that were found right where the clock stands before what the log has seen: how long they have been
 // out is not known, so that no time is left that may have passed.
 func (r *Relay) resumeAt(found wal.Recovery, latest time.Time) {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -172,9 +172,12 @@
 	r.byHand.mu.Lock() // no call is lost between the two
 	defer r.byHand.mu.Unlock()
 	err := r.wal.Flush()
-	if err == nil && !r.settle(linkFor/2) {
+	if err == nil && !(r.settle(linkFor/2) && r.owed.wait(linkFor/2)) {
 		err = errors.New("the disk is behind")
 	}
+	if err == nil {
+		err = r.owed.close()
+	}
 	if err == nil {
 		err = r.offer(l)
 	}
@@ -187,6 +190,9 @@
 			}
 		}
 		r.log.Warn("not handed over", "err", err)
+		if err := r.owed.reopen(); err != nil {
+			panic(fmt.Sprintf("relay: the backlog is lost to another process: %v", err)) // as of the log
+		}
 		if err := r.wal.Reclaim(); err != nil {
 			r.log.Error("the log is not as it was before the hand-over", "err", err)
 		}
@@ -384,8 +390,17 @@
 	if r.lock, err = wal.Lock(r.cfg.StateDir); err == nil {
 		r.wal, found, err = wal.OpenWith(r.options())
 	}
+	if err == nil && l == nil {
+		r.recollect(found)
+	}
+	if err == nil {
+		if err = r.newOverflow(found); err != nil {
+			err = errors.Join(err, r.wal.Close())
+		}
+	}
 	if err == nil && l != nil && l.send(frame{Mine: true}) != nil {
-		err = errors.Join(wal.ErrHeld, r.wal.Close()) // that process waits no longer, or has ended: begin anew
+		err = errors.Join(wal.ErrHeld, r.owed.close(), r.wal.Close()) // that process waits no longer, or has ended: begin anew
+		r.owed = nil
 	}
 	if err != nil {
 		if r.lock != nil {
@@ -401,15 +416,12 @@
 	if found.Report != nil && !found.Report.Sound() {
 		r.log.Error("the state folder is damaged", "report", found.Report.Words())
 	}
-	if l == nil {
-		r.recollect(found)
-	}
 	r.byHand.load(from.Seen)
 	if l == nil {
 		return nil
 	}
 	l.SetDeadline(time.Time{})
-	r.parent, r.lastID = l, from.LastID
+	r.parent, r.lastID = l, max(r.lastID, from.LastID)
 	r.started = time.Now().Add(-time.Since(from.Began))
 	r.cfg.Known = List{}
 	for _, m := range from.Members {
--- /dev/null
+++ b/internal/relay/job.go
@@ -0,0 +1,282 @@
+package relay
+
+import (
+	"errors"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/backlog/owed"
+	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// job is one round at the store. What is removed and put is durable before anything is read.
+type job struct {
+	put    []owed.Entry
+	remove []owed.Ref
+	loads  []load
+	due    int64 // 0: nothing
+
+	out, in []*message // whose entries are put and removed
+	gone    []owed.Ref
+
+	full   bool // no room for what was to be put
+	err    error
+	loaded []owed.Entry
+	ends   []owed.Entry
+	next   int64
+	bytes  int64
+}
+
+// run does a job's reading and writing.
+func (j *job) run(s owed.Store) {
+	defer func() { j.bytes = s.Disk() }()
+	if len(j.put)+len(j.remove) > 0 {
+		err := s.Apply(j.put, j.remove)
+		if errors.Is(err, owed.ErrFull) {
+			j.full = true
+			err = nil
+			if len(j.remove) > 0 {
+				err = s.Apply(nil, j.remove)
+			}
+		}
+		if err != nil {
+			j.err = err
+			return
+		}
+	}
+	for _, l := range j.loads {
+		all, err := s.First(l.dest, l.n)
+		if err != nil {
+			j.err = err
+			break
+		}
+		j.loaded = append(j.loaded, all...)
+	}
+	if j.due > 0 && j.err == nil {
+		j.ends, j.err = s.Due(j.due, dueBatch)
+	}
+	next, ok, err := s.NextDue()
+	if j.next = next; !ok || err != nil {
+		j.next = never
+	}
+}
+
+// tend ends what is on its way for too long, and has the next job begin. The loop calls it after each step and now and then.
+func (o *overflow) tend() {
+	if o == nil {
+		return
+	}
+	now := time.Now()
+	for id, at := range o.shared {
+		if now.Sub(at) > sharedFor {
+			delete(o.shared, id)
+		}
+	}
+	for _, all := range [][]*message{o.out, o.in} {
+		o.expire(all, now)
+	}
+	if o.job != nil {
+		o.expire(o.job.out, now)
+		o.expire(o.job.in, now)
+		return
+	}
+	if (o.worn || o.full) && now.Sub(o.tried) < storeRetry {
+		return
+	}
+	if j := o.nextJob(now); j != nil {
+		o.job = j
+		o.start(j)
+	}
+}
+
+// expire tells the ends of messages whose time is up on their way.
+func (o *overflow) expire(all []*message, now time.Time) {
+	for _, m := range all {
+		if m.ended || m.dropped || now.Before(m.Deadline.Add(-dueAhead)) {
+			continue
+		}
+		m.ended = true
+		o.relay.figures.ended(m, outOfTime)
+		o.relay.wal.Decide(m.Message, outOfTime)
+		o.relay.notify(m)
+		o.ended++
+	}
+}
+
+// nextJob is what is to be done at the store; nil if nothing is.
+func (o *overflow) nextJob(now time.Time) *job {
+	durable := o.relay.wal.Durable()
+	j := &job{}
+	rest := o.out[:0:0]
+	for _, m := range o.out {
+		if len(j.put) >= batchStored || m.seq > durable {
+			rest = append(rest, m)
+			continue
+		}
+		j.out, j.put = append(j.out, m), append(j.put, owed.Entry{Ref: o.ref(m), Data: wal.Marshal(m.Message)})
+	}
+	o.out = rest
+	rest = o.in[:0:0]
+	for _, m := range o.in {
+		if m.seq > durable {
+			rest = append(rest, m)
+			continue
+		}
+		j.in, j.remove = append(j.in, m), append(j.remove, o.ref(m))
+	}
+	o.in = rest
+	j.gone, o.gone = o.gone, nil
+	j.remove = append(j.remove, j.gone...)
+	if !o.relay.stopping && now.After(o.hold) && o.relay.wal.Fill() < loadFill {
+		j.loads = o.loads(batchStored)
+	}
+	if by := now.Add(o.offset + dueAhead).UnixNano(); o.next <= by && len(o.ending) < dueMost && !o.relay.noSends {
+		j.due = by
+	}
+	if len(j.put)+len(j.remove)+len(j.loads) == 0 && j.due == 0 {
+		return nil
+	}
+	return j
+}
+
+// finished takes a job's end, and returns what the module has to hear of it.
+func (o *overflow) finished(evs []policy.Event, j *job) []policy.Event {
+	o.job, o.bytes = nil, j.bytes
+	for _, l := range j.loads {
+		o.loaded(l.dest)
+	}
+	o.state(j)
+	if o.worn || j.full {
+		o.out = append(j.out, o.out...)
+		j.out = nil
+	}
+	if o.worn {
+		// Whether it was applied is not known: applied once more it does no harm.
+		o.in, o.gone = append(j.in, o.in...), append(j.gone, o.gone...)
+		return evs
+	}
+	for _, m := range j.out {
+		if m.dropped || m.ended {
+			m.move = entering // off the disk again, and over then
+			o.in = append(o.in, m)
+			continue
+		}
+		m.move = staying
+		o.movedOut++
+		o.relay.wal.End(m.Message)
+		m.ended = true
+		o.relay.retire(m)
+	}
+	for _, ref := range j.gone {
+		o.stored(ref.Dest, -1)
+	}
+	for _, m := range j.in {
+		o.stored(m.Dest, -1)
+		m.move = staying
+		switch {
+		case m.dropped:
+			m.ended = true
+			o.relay.letGo(m)
+		case m.ended && m.confirmed:
+			o.relay.wal.End(m.Message)
+			o.relay.retire(m)
+		case m.ended:
+		case !o.relay.noSends:
+			evs = append(evs, o.given(m))
+		}
+	}
+	o.next = j.next
+	o.relay.end(j.ends)
+	o.relay.take(j.loaded)
+	return evs
+}
+
+// state notes whether the disk takes what it is given.
+func (o *overflow) state(j *job) {
+	log := o.relay.log
+	if j.err != nil {
+		if o.tried = time.Now(); !o.worn {
+			log.Error("the backlog's disk fails: nothing new goes there", "err", j.err)
+		}
+		o.worn = true
+		return
+	}
+	if o.worn {
+		log.Info("the backlog goes on")
+	}
+	o.worn = false
+	if j.full {
+		if o.tried = time.Now(); !o.full {
+			log.Warn("the backlog is full: new messages beyond the window are refused", "messages", o.disk, "bytes", j.bytes)
+		}
+		o.full = true
+	} else if len(j.put) > 0 && o.full {
+		log.Info("the backlog has room again")
+		o.full = false
+	}
+}
+
+// given tells the module of a message from the disk.
+func (o *overflow) given(m *message) policy.Event {
+	o.relay.held++
+	o.movedIn++
+	o.enter(m)
+	if m.ID <= o.oldest {
+		return o.relay.resumed(m, nil)
+	}
+	return o.relay.taken(m)
+}
+
+// end tells the ends of messages whose time is up on disk. They leave it once the platform has taken that.
+func (r *Relay) end(all []owed.Entry) {
+	o := r.owed
+	var news []notice
+	for _, e := range all {
+		if r.msgs[e.ID] != nil || o.ending[e.ID].ID != 0 {
+			continue // on its way, or told
+		}
+		o.ending[e.ID] = e.Ref
+		o.ended++
+		if m, err := wal.Unmarshal(e.Data); err == nil {
+			r.figures.ended(&message{Message: m}, outOfTime)
+		}
+		news = append(news, newNotice(e.ID, e.Trace, outOfTime))
+	}
+	r.finals.add(news...)
+}
+
+// take has messages that were read from disk stand in the log again. Where that has no room they stay where they are.
+func (r *Relay) take(all []owed.Entry) {
+	o := r.owed
+	var ms []*message
+	var news []*wal.Message
+	for _, e := range all {
+		if r.msgs[e.ID] != nil || o.ending[e.ID].ID != 0 {
+			continue
+		}
+		m, err := wal.Unmarshal(e.Data)
+		if err != nil {
+			r.log.Error("a message of the backlog can't be read", "id", e.Trace, "err", err)
+			o.ending[e.ID] = e.Ref
+			r.finals.add(newNotice(e.ID, e.Trace, wal.Final{}))
+			continue
+		}
+		m.Deadline = time.Unix(0, e.Deadline).Add(-o.offset)
+		ms, news = append(ms, &message{Message: m, move: entering}), append(news, m)
+	}
+	if len(news) == 0 {
+		return
+	}
+	if err := r.wal.Accept(news...); err != nil {
+		if !r.full {
+			r.log.Warn("the backlog waits for the log", "err", err)
+		}
+		o.hold = time.Now().Add(storeRetry)
+		return
+	}
+	for _, m := range ms {
+		m.seq = r.wal.Written()
+		r.msgs[m.ID], r.traces[m.Trace] = m, m
+	}
+	o.in = append(o.in, ms...)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,7 +13,6 @@
 	"maps"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"os"
 	"runtime/debug"
 	"slices"
@@ -82,6 +81,13 @@
 	seq    uint64   // the write in the log that took it on
 	shared bool     // others were told that it is taken on, too: it cannot be withdrawn
 	next   *message // withdrawn and handed in once more: what it goes on as
+
+	// Where a backlog is kept; see overflow and window.
+	cell      *cell // nil: the module does not have it
+	place     int   // among those of the cell that were never sent; -1: sent
+	move      move
+	dropped   bool // on its way, and owed no more
+	confirmed bool // on its way, and its notice was taken
 }
 
 // Relay is one relay.
@@ -133,6 +139,8 @@
 	wakeAt  time.Time           // zero: none asked for
 	later   []policy.Event      // for the next step
 	full    bool                // the log took no new work last
+	owed    *overflow           // nil: no backlog is kept
+	kept    []any               // came while the loop waited for a job, for the next step
 
 	promises []promise     // wait for the disk, oldest first
 	synced   chan struct{} // holds one: the disk has something more
@@ -140,6 +148,7 @@
 	behind   time.Duration // the wall clock, to what the log has seen; 0 unless it was set back
 	recalled memories      // of a process before, until taken up
 	putAt    time.Time
+	countAt  time.Time   // the routes that are avoided are counted no sooner
 	putting  atomic.Bool // memories are being written
 
 	putFailed atomic.Bool
@@ -260,7 +269,7 @@
 	<-r.over
 	r.hosts.close()
 	r.putDownLast()
-	err := r.wal.Close()
+	err := r.endLog()
 	if r.lock != nil {
 		err = errors.Join(err, r.lock.Close())
 	}
@@ -369,8 +378,9 @@
 			r.figures.ended(m, wal.Final{})
 			r.wal.Decide(w, wal.Final{})
 			r.notify(m)
-		default:
+		case r.owed.keeps(m):
 			r.held++
+			r.owed.enter(m)
 			evs = append(evs, r.resumed(m, out))
 		}
 	}
@@ -436,9 +446,11 @@
 			continue
 		case <-gauges.C:
 			r.publish() // a skip may have run out
+			r.owed.tell()
 			if r.heir == nil {
 				r.tend()
 				r.putDown()
+				r.owed.tend()
 			}
 			continue
 		}
@@ -457,6 +469,10 @@
 		last = time.Now()
 		r.step(batch)
 		clear(batch)
+		if kept := r.kept; len(kept) > 0 {
+			r.kept = nil
+			r.step(kept)
+		}
 		if !r.wakeAt.IsZero() {
 			timer.Reset(time.Until(r.wakeAt))
 		}
@@ -476,314 +492,6 @@
 	}
 }
 
-// step takes a batch of events to the module and carries out what it decides.
-func (r *Relay) step(batch []any) {
-	now := r.now()
-	if !r.wakeAt.IsZero() && !time.Now().Before(r.wakeAt) {
-		r.wakeAt = time.Time{}
-	}
-	evs := append([]policy.Event(nil), r.later...)
-	r.later = r.later[:0]
-	if r.heir != nil {
-		r.passOn(batch)
-		return
-	}
-	var asked []clearance
-	var heirs []takeover
-	var ins []*handIn
-	for _, e := range batch {
-		switch e := e.(type) {
-		case *handIn:
-			ins = append(ins, e)
-		case withdrawal:
-			evs = r.withdraw(evs, e.id)
-		case *callEnd:
-			evs = r.callEnded(evs, e)
-		case cutOff:
-			evs = r.attemptEnded(evs, e.a, result{outcome: policy.Timeout, took: time.Since(e.a.sent)})
-		case List:
-			evs = append(evs, r.list(e))
-		case clearance:
-			asked = append(asked, e)
-		case confirmed:
-			for _, id := range e.ids {
-				if m := r.msgs[id]; m != nil {
-					r.wal.End(m.Message)
-					r.retire(m)
-				}
-			}
-		case passedEnd:
-			evs = r.inherited(evs, e)
-		case alone:
-			evs = r.bereft(evs)
-		case takeover:
-			heirs = append(heirs, e)
-		case stopping:
-			r.stopping = true
-		case noSends:
-			r.noSends = true
-		}
-	}
-	evs = r.heardByHand(evs)
-	r.forget()
-	waiting := r.accept(ins)
-	if !r.noSends {
-		for _, in := range waiting {
-			switch m := in.as; {
-			case m.Message != in.m: // a twin of one before it, or of one that is not on disk yet
-			case m.Attempts > 0:
-				evs = append(evs, r.resumed(m, nil))
-			default:
-				evs = append(evs, r.taken(m))
-			}
-		}
-		r.carryOut(r.sender.Step(now, evs), waiting)
-	} else {
-		r.carryOut(nil, waiting)
-	}
-	for _, c := range asked {
-		c.reply <- !r.noSends && r.sender.MayStill(c.route, r.now(), c.ids...)
-	}
-	if r.stopping && !r.idled && len(r.promises) == 0 && (r.owesNothing() || r.noSends && r.out == 0) {
-		r.idled = true
-		close(r.idle)
-	}
-	r.publish()
-	for _, h := range heirs {
-		r.handOver(h.link)
-	}
-}
-
-// owesNothing tells whether all is ended, and all outcomes are in.
-func (r *Relay) owesNothing() bool {
-	for _, m := range r.msgs {
-		if m.out > 0 || !m.Withdrawn {
-			return false
-		}
-	}
-	return true
-}
-
-// accept puts new messages in the log and returns the hand-ins that are answered when this step is decided. The
-// others have their answers.
-func (r *Relay) accept(ins []*handIn) (waiting []*handIn) {
-	var ms []*wal.Message
-	for _, in := range ins {
-		old := r.traces[in.m.Trace]
-		if old != nil && old.fresh {
-			in.as, old.shared = old, true
-			waiting = append(waiting, in)
-			continue
-		}
-		if old != nil && !(old.Withdrawn && (old.out == 0 || r.cfg.MayDuplicate)) {
-			if r.join(in, old) {
-				waiting = append(waiting, in)
-				continue
-			}
-			in.reply <- r.again(old)
-			continue
-		}
-		switch {
-		case len(r.cells) > 0 && !r.cells[in.m.Dest]:
-			in.reply <- bad("no such destination: %d", in.m.Dest)
-			continue
-		case r.cfg.Settings.MaxHeld > 0 && r.held >= r.cfg.Settings.MaxHeld:
-			r.figures.of(in.m.Class).deferred.Add(1)
-			in.reply <- answer{status: http.StatusServiceUnavailable, again: policy.RetryAdvice}
-			continue
-		}
-		r.lastID++
-		in.m.ID = r.lastID
-		m := &message{Message: in.m, fresh: true}
-		if old != nil {
-			// It may have run, and goes on from there.
-			m.Attempts, m.MayRun, m.sends = old.Attempts, slices.Clone(old.MayRun), old.sends
-			old.next = m
-		}
-		r.msgs[m.ID], r.traces[m.Trace] = m, m
-		r.held++
-		in.as = m
-		waiting, ms = append(waiting, in), append(ms, in.m)
-	}
-	if len(ms) == 0 {
-		return waiting
-	}
-	err := r.wal.Accept(ms...)
-	for _, in := range waiting {
-		in.as.fresh = false
-	}
-	if err == nil {
-		for _, in := range waiting {
-			if in.as.Message == in.m {
-				in.as.seq = r.wal.Written()
-			}
-		}
-		r.full = false
-		return waiting
-	}
-	// A full disk is no reason to die: what is held goes on, new work is refused.
-	if !r.full {
-		r.log.Warn("refusing new messages", "err", err)
-	}
-	r.full = true
-	var joined []*handIn
-	for _, in := range waiting {
-		if m := in.as; m.Message == in.m {
-			r.held--
-			r.figures.of(m.Class).deferred.Add(1)
-			delete(r.msgs, m.ID)
-			delete(r.traces, m.Trace)
-		} else if m.seq > 0 {
-			joined = append(joined, in) // of a message that is held
-			continue
-		}
-		in.reply <- answer{status: http.StatusServiceUnavailable, again: policy.RetryAdvice}
-	}
-	for _, m := range r.left {
-		if m.next != nil && r.msgs[m.next.ID] == nil {
-			m.next, r.traces[m.Trace] = nil, m
-		}
-	}
-	return joined
-}
-
-// again is the answer to a hand-in under the id of a message that is known: the end that this one has, if any.
-func (r *Relay) again(m *message) answer {
-	switch {
-	case m.Withdrawn: // its call is still out, and may not have company
-		return answer{status: http.StatusInternalServerError}
-	case m.Final == nil: // under way, or delivered
-		m.shared = true
-		return answer{status: http.StatusAccepted}
-	}
-	return finalAnswer(*m.Final)
-}
-
-// finalAnswer is what a client is told of a message that is not delivered.
-func finalAnswer(f wal.Final) answer {
-	if f.Deferred {
-		return answer{status: http.StatusServiceUnavailable, again: f.Again}
-	}
-	return answer{status: http.StatusInternalServerError}
-}
-
-// withdraw ends a message whose client has left before its answer.
-func (r *Relay) withdraw(evs []policy.Event, id uint32) []policy.Event {
-	m := r.msgs[id]
-	if m == nil || m.shared || m.ended {
-		return evs
-	}
-	r.done(m)
-	m.told = true // its client hands it in anew, and that one counts
-	r.letGo(m)
-	return append(evs, policy.Event{Kind: policy.Withdrawn, ID: id})
-}
-
-// letGo ends a message that is no more owed. One that may have run is remembered as long as its client may hand it in
-// once more under its id: that must not make it a new one.
-func (r *Relay) letGo(m *message) {
-	if len(m.MayRun) == 0 {
-		r.wal.End(m.Message)
-		r.retire(m)
-		return
-	}
-	r.wal.Withdraw(m.Message)
-	r.left = append(r.left, m)
-}
-
-// delivered ends a message that was delivered after all, and what it goes on as.
-func (r *Relay) delivered(evs []policy.Event, m *message) []policy.Event {
-	for ; m != nil; m = m.next {
-		if m.first() {
-			r.figures.of(m.Class).answered.Add(1)
-		}
-		if !m.ended {
-			evs = append(evs, policy.Event{Kind: policy.Withdrawn, ID: m.ID})
-		}
-		r.done(m)
-		r.wal.End(m.Message)
-		r.retire(m)
-	}
-	return evs
-}
-
-// forget drops messages that were withdrawn once their time is up, once it is certain that they never ran, or once
-// they go on as others, which know all that these did.
-func (r *Relay) forget() {
-	now := time.Now()
-	r.left = slices.DeleteFunc(r.left, func(m *message) bool {
-		if m.next == nil && len(m.MayRun) > 0 && now.Before(m.Deadline) {
-			return false
-		}
-		r.wal.End(m.Message)
-		r.retire(m)
-		return true
-	})
-}
-
-// callEnded takes the end of a call.
-func (r *Relay) callEnded(evs []policy.Event, e *callEnd) []policy.Event {
-	r.out--
-	delete(r.flying, e.c)
-	for i, a := range e.c.attempts {
-		evs = r.attemptEnded(evs, a, e.results[i])
-	}
-	return evs
-}
-
-// attemptEnded takes the outcome of an attempt: in the log, and for the module.
-func (r *Relay) attemptEnded(evs []policy.Event, a *attempt, res result) []policy.Event {
-	m := a.m
-	ok := res.outcome == policy.OK
-	if a.over {
-		// It was cut off, and its call went on for others. A delivery still ends the message.
-		if ok {
-			evs = r.delivered(evs, m)
-		}
-		return evs
-	}
-	a.over = true
-	if a.timer != nil {
-		a.timer.Stop()
-	}
-	m.out--
-	switch res.outcome {
-	case policy.Full, policy.ConnectFailed, policy.Moot:
-		r.wal.NeverRan(m.Message, a.n)
-	}
-	if ok && m.first() {
-		r.figures.of(m.Class).answered.Add(1)
-	}
-	if ok || res.gone {
-		r.done(m)
-		r.wal.End(m.Message)
-		evs = r.delivered(evs, m.next)
-	}
-	r.retire(m)
-	return append(evs, policy.Event{
-		Kind: policy.Finished, ID: m.ID, Attempt: a.n, Route: a.route, Outcome: res.outcome, Took: res.took,
-		Ended: ok || res.gone, Wait: res.wait, Report: res.report,
-	})
-}
-
-// done books that the module has done with a message.
-func (r *Relay) done(m *message) {
-	if !m.ended {
-		m.ended = true
-		r.held--
-	}
-}
-
-// retire forgets a message for which nothing is owed and nothing is out.
-func (r *Relay) retire(m *message) {
-	if m.out == 0 && m.ended && !r.wal.Owes(m.Message) {
-		delete(r.msgs, m.ID)
-		if r.traces[m.Trace] == m {
-			delete(r.traces, m.Trace)
-		}
-	}
-}
-
 // list takes a list of hosts, or changes to it. An entry that cannot be read is passed over; if it names a host
 // that is known, that host stays as it was.
 func (r *Relay) list(l List) policy.Event {
@@ -814,12 +522,12 @@
 			r.cells[entry.Destination] = true
 		}
 	}
-	for id := range r.routes {
-		if _, ok := routes[id]; l.Full && !ok {
-			r.hosts.closeIdle(id)
-		}
-	}
 	if l.Full {
+		for id := range r.routes {
+			if _, ok := routes[id]; !ok {
+				r.hosts.closeIdle(id)
+			}
+		}
 		r.routes = routes
 	} else {
 		for id, t := range routes {
@@ -854,149 +562,3 @@
 	r.barred = now
 	return evs
 }
-
-// carryOut does what the module has decided: first in the log, in one write, then on the sockets.
-func (r *Relay) carryOut(acts []policy.Action, waiting []*handIn) {
-	answers := make(map[uint32]answer, len(waiting))
-	for _, in := range waiting {
-		answers[in.as.ID] = answer{status: http.StatusAccepted}
-	}
-	var calls []*call
-	var ended []*message
-	for _, a := range acts {
-		m := r.msgs[a.ID]
-		switch a.Kind {
-		case policy.Send:
-			if m == nil {
-				r.log.Error("send of a message that is not held", "id", a.ID) // a slot less is better than no relay
-				continue
-			}
-			calls = r.addSend(calls, m, a)
-		case policy.Refuse, policy.Fail:
-			if m == nil || m.ended {
-				continue
-			}
-			r.done(m)
-			final := wal.Final{Deferred: a.Kind == policy.Refuse, Again: a.Delay}
-			r.figures.ended(m, final)
-			if _, ok := answers[a.ID]; ok {
-				answers[a.ID] = finalAnswer(final)
-				r.letGo(m)
-				continue
-			}
-			r.wal.Decide(m.Message, final)
-			ended = append(ended, m)
-		case policy.Wake:
-			r.wakeAt = time.Now().Add(a.Delay) // the module keeps one wake in mind, the last that it asked for
-		case policy.CloseIdle:
-			r.hosts.closeIdle(a.Route)
-		}
-	}
-	p := promise{waiting: waiting, answers: answers, ended: ended, calls: calls}
-	// A send that is not in the log must not leave: after a restart it would be made again.
-	switch err := r.record(calls); {
-	case errors.Is(err, wal.ErrWorn):
-		p.unwritten = true
-	case err != nil:
-		r.log.Warn("log not written", "calls", len(calls), "err", err)
-		r.giveBack(calls, policy.ConnectFailed)
-		p.calls = nil
-	}
-	r.promise(p)
-}
-
-// addSend puts a send into the call that the module has decided on.
-func (r *Relay) addSend(calls []*call, m *message, a policy.Action) []*call {
-	t := r.routes[a.Route]
-	var c *call
-	size := itemSize(m)
-	for _, x := range calls {
-		// Bodies hold so much at most, and many small messages are no reason to have one large one turned away.
-		if x.number == a.Call && x.size+size <= bodyMost {
-			c = x
-		}
-	}
-	if c == nil {
-		c = &call{number: a.Call, route: a.Route, addr: t.addr, zone: t.Zone, sent: time.Now()}
-		calls = append(calls, c)
-	}
-	until := r.started.Add(a.At)
-	c.size += size
-	c.attempts = append(c.attempts, &attempt{call: c, m: m, n: m.sends, until: until})
-	m.sends++
-	m.out++
-	if len(c.attempts) == 1 || until.After(c.until) == r.cfg.MayDuplicate {
-		c.until = until // where a second copy may be out, the rest of a call outlasts one message's time-out
-	}
-	return calls
-}
-
-// record writes the sends of calls and all that was noted in this step.
-func (r *Relay) record(calls []*call) error {
-	var sends []wal.Send
-	for _, c := range calls {
-		for _, a := range c.attempts {
-			sends = append(sends, wal.Send{
-				Message: a.m.Message, Attempt: wal.Attempt{N: a.n, Host: c.route, Zone: c.zone, At: c.sent},
-			})
-		}
-	}
-	if len(sends) == 0 {
-		return r.wal.Flush()
-	}
-	return r.wal.Sent(sends...)
-}
-
-// giveBack ends calls that are not made with an outcome which proves so.
-func (r *Relay) giveBack(calls []*call, as policy.Outcome) {
-	for _, c := range calls {
-		for _, a := range c.attempts {
-			r.later = r.attemptEnded(r.later, a, result{outcome: as})
-		}
-	}
-	r.soon()
-}
-
-// launch makes a call, away from the loop.
-func (r *Relay) launch(c *call) {
-	r.out++
-	r.flying[c] = struct{}{}
-	for _, a := range c.attempts {
-		if a.until.Before(c.until) {
-			a.timer = time.AfterFunc(time.Until(a.until), func() { r.post(cutOff{a}) })
-		}
-	}
-	r.calls.Add(1)
-	go func() {
-		defer r.calls.Done()
-		results := r.hosts.do(r.callCtx, c, func() bool { return r.mayStill(c) })
-		r.post(&callEnd{c, results})
-	}()
-}
-
-// mayStill asks the loop whether a call that was held up may leave.
-func (r *Relay) mayStill(c *call) bool {
-	ids := make([]uint32, 0, len(c.attempts))
-	for _, a := range c.attempts {
-		ids = append(ids, a.m.ID)
-	}
-	reply := make(chan bool, 1)
-	if !r.post(clearance{c.route, ids, reply}) {
-		return false
-	}
-	select {
-	case ok := <-reply:
-		return ok
-	case <-r.over:
-		return false
-	}
-}
-
-// notify queues the notice that ends a message.
-func (r *Relay) notify(m *message) {
-	n := notice{id: m.ID, ID: m.Trace, Status: "undeliverable"}
-	if m.Final.Deferred {
-		n.Status, n.AgainMS = "deferred", m.Final.Again.Milliseconds()
-	}
-	r.finals.add(n)
-}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,7 @@
 	LogLevel  slog.Level `toml:"log_level"`  // "info" (default), "debug", "warn" or "error"
 	State     *State     `toml:"state"`      // none: the state folder is kept in one file, as ever
 
+	Backlog    *Backlog    `toml:"backlog"`    // none: all that is owed is held in memory
 	Membership *Membership `toml:"membership"` // none: the relay knows nothing of others
 	Duties     *Duties     `toml:"duties"`     // none: the relay holds none
 	Steward    *Steward    `toml:"steward"`    // of a steward alone
@@ -67,6 +68,39 @@
 	MemoriesEvery Duration `toml:"memories_every"`
 }
 
+// Backlog is how what is owed beyond a window in memory is kept on disk.
+type Backlog struct {
+	Dir    string  `toml:"dir"`     // a folder of its own, not the state folder
+	DiskMB float64 `toml:"disk_mb"` // that it may take, in millions of bytes; 64 at least
+	Window int     `toml:"window"`  // messages in memory that were never sent; 4096 by default
+	Share  float64 `toml:"share"`   // of the window, for each destination; 0.0625 by default
+}
+
+func (b *Backlog) check(s *Settings) (errs []error) {
+	if b.Window == 0 {
+		b.Window = 4096
+	}
+	if b.Share == 0 {
+		b.Share = 1.0 / 16
+	}
+	if b.Dir == "" {
+		errs = append(errs, errors.New("backlog.dir: the backlog needs a folder of its own"))
+	}
+	if !(b.DiskMB >= 64 && b.DiskMB <= 1e9) {
+		errs = append(errs, fmt.Errorf("backlog.disk_mb: %v is not between 64 and 1e9", b.DiskMB))
+	}
+	if b.Window < 64 || b.Window > 1<<20 {
+		errs = append(errs, fmt.Errorf("backlog.window: %d is not between 64 and %d", b.Window, 1<<20))
+	}
+	if !(b.Share > 0 && b.Share <= 1) {
+		errs = append(errs, fmt.Errorf("backlog.share: %v is not above 0 and at most 1", b.Share))
+	}
+	if s.State == nil {
+		errs = append(errs, errors.New("backlog: it goes with a log in segments: [state] is missing"))
+	}
+	return errs
+}
+
 // Power tells whether messages outlast a loss of power.
 func (s *State) Power() bool { return s.Durability == "power" }
 
@@ -153,6 +187,9 @@
 			errs = append(errs, fmt.Errorf("state.memories_every: %v is not between 100ms and 1m", every))
 		}
 	}
+	if s.Backlog != nil {
+		errs = append(errs, s.Backlog.check(s)...)
+	}
 	if m := s.Membership; m != nil {
 		if m.Fleet == "" {
 			errs = append(errs, errors.New("membership.fleet: the fleet needs a label"))
@@ -183,8 +220,8 @@
 	}
 	if x := s.Steward; x != nil {
 		errs = append(errs, x.check()...)
-		if s.State != nil || s.Membership != nil || s.Duties != nil {
-			errs = append(errs, errors.New("steward: a steward is no relay: [state], [membership] and [duties] belong in another file"))
+		if s.State != nil || s.Membership != nil || s.Duties != nil || s.Backlog != nil {
+			errs = append(errs, errors.New("steward: a steward is no relay: [state], [backlog], [membership] and [duties] belong in another file"))
 		}
 	}
 	return errors.Join(errs...)
--- a/internal/testbed/build/build.go
+++ b/internal/testbed/build/build.go
@@ -38,15 +38,20 @@
 // Work builds the work as it stands into a folder and returns the program's path and the revision, with + behind it where
 // the work differs.
 func Work(ctx context.Context, root, into string, tags ...string) (program, revision string, err error) {
-	revision = "unknown"
-	if head, err := git(ctx, root, "rev-parse", "--short", "HEAD"); err == nil {
-		revision = head
-		if status, err := git(ctx, root, "status", "--porcelain", "--", "*.go", "go.mod"); err != nil || status != "" {
-			revision += "+"
-		}
-	}
 	program, err = compile(ctx, root, into, tags...)
-	return program, revision, err
+	return program, Head(ctx, root), err
+}
+
+// Head is the revision of the work, with + behind it where the work differs, or "unknown".
+func Head(ctx context.Context, root string) string {
+	revision, err := git(ctx, root, "rev-parse", "--short", "HEAD")
+	if err != nil {
+		return "unknown"
+	}
+	if status, err := git(ctx, root, "status", "--porcelain", "--", "*.go", "go.mod"); err != nil || status != "" {
+		revision += "+"
+	}
+	return revision
 }
 
 // Revision builds a revision into a folder, in a work tree of its own that is gone afterwards. patch, if not "", is a
--- a/internal/testbed/experiment/experiment.go
+++ b/internal/testbed/experiment/experiment.go
@@ -71,6 +71,13 @@
 	Loners      int      `toml:"loners"`     // but for so many, beside which what a member costs is measured
 	SyncMS      Range    `toml:"sync_ms"`    // what a sync takes, on the testbed's disk
 	Memories    bool     `toml:"memories"`   // relays put down what they know of partners; with State
+	Backlog     Backlog  `toml:"backlog"`    // what is owed beyond a window lies on disk; with State
+}
+
+// Backlog is the relays' backlog.
+type Backlog struct {
+	Window int     `toml:"window"` // messages in memory that were never sent; 0: there is no backlog
+	Share  float64 `toml:"share"`  // of these, for each destination
 }
 
 // Partners is the destinations and their endpoints.
@@ -311,6 +318,9 @@
 	if x.Fleet.State == "" && (x.Fleet.Memories || x.NeedsDisk()) {
 		say("fleet.state: memories and faults of the disk need a folder in segments")
 	}
+	if b := x.Fleet.Backlog; b.Window < 0 || b.Share < 0 || b.Share > 1 || b.Window == 0 && b.Share > 0 || b.Window > 0 && x.Fleet.State == "" {
+		say("fleet.backlog: a window of 1 at least, a share of 0 to 1, and a folder in segments")
+	}
 	if x.Fleet.Stewards > 0 && !x.Fleet.Members || x.Fleet.Stewards > 5 {
 		say("fleet.stewards: 5 at most, and only members hold duties")
 	}
--- a/internal/testbed/process/disk.go
+++ b/internal/testbed/process/disk.go
@@ -1,6 +1,8 @@
 package process
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -31,6 +33,10 @@
 	if x.Fleet.State != "" {
 		text += fmt.Sprintf("[state]\ndurability = %q\nmemories = %v\n", x.Fleet.State, x.Fleet.Memories)
 	}
+	if x.Fleet.Backlog.Window > 0 {
+		text += fmt.Sprintf("[backlog]\ndir = %q\ndisk_mb = 64\nwindow = %d\nshare = %v\n", f.backlog(r), x.Fleet.Backlog.Window,
+			cmp.Or(x.Fleet.Backlog.Share, 1.0/16))
+	}
 	if member {
 		at, more := f.ports.Gossip, ""
 		if x.GossipSuffers() {
@@ -53,12 +59,24 @@
 	if !x.NeedsDisk() {
 		return env, nil
 	}
-	image, err := readImage(state)
+	image, err := readImage(state, ofLog)
 	if err != nil {
 		return nil, err
 	}
+	var behind map[string][]byte
+	if x.Fleet.Backlog.Window > 0 {
+		if err := os.MkdirAll(f.backlog(r), 0o700); err != nil {
+			return nil, fmt.Errorf("process: %w", err)
+		}
+		if behind, err = readImage(f.backlog(r), ofBacklog); err != nil {
+			return nil, err
+		}
+		if err := os.WriteFile(f.trace(r)+tracedisk.Backlog+".faults", []byte(f.usual(r)), 0o600); err != nil {
+			return nil, fmt.Errorf("process: %w", err)
+		}
+	}
 	f.mu.Lock()
-	f.relays[r].image = image
+	f.relays[r].image, f.relays[r].backlog = image, behind
 	first := f.relays[r].count == 0
 	f.mu.Unlock()
 	if first {
@@ -77,6 +95,12 @@
 
 func (f *Fleet) trace(r int) string { return filepath.Join(f.dir, f.plan.Relays[r].Name, "trace") }
 
+// backlog is the folder of a relay's backlog.
+func (f *Fleet) backlog(r int) string { return filepath.Join(f.dir, f.plan.Relays[r].Name, "backlog") }
+
+// ofBacklog tells whether a file of the backlog's folder is one that the trace tells of: all but the lock.
+func ofBacklog(name string) bool { return !strings.Contains(strings.ToLower(name), "lock") }
+
 // ofLog tells whether a file of the state folder is the log's, which the trace tells of.
 func ofLog(name string) bool {
 	for _, prefix := range []string{"seg-", "snap", "wal.", "damaged-"} {
@@ -87,8 +111,8 @@
 	return false
 }
 
-// readImage reads the log's files.
-func readImage(state string) (map[string][]byte, error) {
+// readImage reads the files of a folder that a trace tells of.
+func readImage(state string, of func(string) bool) (map[string][]byte, error) {
 	d := disk.Dir(state)
 	names, err := d.Names()
 	if err != nil {
@@ -96,7 +120,7 @@
 	}
 	image := map[string][]byte{}
 	for _, n := range names {
-		if !ofLog(n) {
+		if !of(n) {
 			continue
 		}
 		if strings.HasSuffix(n, "/") {
@@ -122,9 +146,19 @@
 		if err != nil {
 			return err
 		}
-		if err := writeImage(state, d, rng); err != nil {
+		if err := writeImage(state, d, func(name string) bool {
+			return ofLog(name) || strings.HasPrefix(name, "partners") && rng.IntN(2) == 0
+		}); err != nil {
 			return err
 		}
+		if x.backlog != nil {
+			if d, err = tracedisk.Replay(x.backlog, f.trace(r)+tracedisk.Backlog, crashdisk.Draw(rng)); err != nil {
+				return err
+			}
+			if err := writeImage(f.backlog(r), d, ofBacklog); err != nil {
+				return err
+			}
+		}
 	}
 	if network.Sleep(f.ctx, pause) != nil {
 		return nil
@@ -132,14 +166,14 @@
 	return f.begin(f.ctx, r, false)
 }
 
-// writeImage puts a folder's files in the place of the log's. What the trace does not tell of is there or not.
-func writeImage(state string, d *crashdisk.Disk, rng *rand.Rand) error {
+// writeImage puts a folder's files in the place of those that go.
+func writeImage(state string, d *crashdisk.Disk, goes func(name string) bool) error {
 	entries, err := os.ReadDir(state)
 	if err != nil {
 		return fmt.Errorf("process: %w", err)
 	}
 	for _, e := range entries {
-		if ofLog(e.Name()) || strings.HasPrefix(e.Name(), "partners") && rng.IntN(2) == 0 {
+		if goes(e.Name()) {
 			if err := os.RemoveAll(filepath.Join(state, e.Name())); err != nil {
 				return fmt.Errorf("process: %w", err)
 			}
@@ -170,12 +204,17 @@
 // diskFails has a relay's disk fail for a time.
 func (f *Fleet) diskFails(r int, x *plan.Fault) error {
 	words := map[string]string{"disk-full": "full", "disk-sick": "broken", "disk-slow": fmt.Sprintf("slow=%.0fms", x.Size)}
-	path := f.trace(r) + ".faults"
-	if err := os.WriteFile(path, []byte(words[x.Kind]), 0o600); err != nil {
+	say := func(word string) (err error) {
+		for _, trace := range []string{f.trace(r), f.trace(r) + tracedisk.Backlog} {
+			err = errors.Join(err, os.WriteFile(trace+".faults", []byte(word), 0o600))
+		}
+		return err
+	}
+	if err := say(words[x.Kind]); err != nil {
 		return fmt.Errorf("process: %w", err)
 	}
 	network.Sleep(f.ctx, x.For)
-	if err := os.WriteFile(path, []byte(f.usual(r)), 0o600); err != nil {
+	if err := say(f.usual(r)); err != nil {
 		return fmt.Errorf("process: %w", err)
 	}
 	return nil
--- a/internal/testbed/process/fleet.go
+++ b/internal/testbed/process/fleet.go
@@ -60,8 +60,10 @@
 	mu    sync.Mutex        // held over a whole restart or replacement
 	count int               // processes so far
 	image map[string][]byte // of its state folder when the last one began, on the testbed's disk
-	now   []*process        // that run; two while one takes the other's place
-	alive bool              // clients may come: its process is ready
+	// and of its backlog's; nil without one
+	backlog map[string][]byte
+	now     []*process // that run; two while one takes the other's place
+	alive   bool       // clients may come: its process is ready
 }
 
 // process is one process of a relay.
--- /dev/null
+++ b/internal/testbed/scale/fit_test.go
@@ -0,0 +1,89 @@
+package scale
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// sizes are as far apart as a slope's.
+var sizes = []float64{500, 1000, 2000, 4000, 8000, 16000}
+
+// draw makes points of a law with noise, each the median of three samples.
+func draw(f func(n float64) float64, noise float64, seed uint64) []Point {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	var points []Point
+	for _, n := range sizes {
+		var s []float64
+		for range 3 {
+			s = append(s, f(n)*(1+noise*rng.NormFloat64()))
+		}
+		points = append(points, Point{n, Median(s)})
+	}
+	return points
+}
+
+func TestLawsAreFoundInNoise(t *testing.T) {
+	for _, c := range []struct {
+		fit   Fit
+		noise float64
+		least int // times of 200 that the law is found
+	}{
+		{Fit{Constant, 2.3, 0}, 0.05, 190},
+		{Fit{Constant, 0, 0}, 0, 200},
+		{Fit{Linear, 100, 0.5}, 0.03, 190},
+		{Fit{Linear, 2e7, 50}, 0.001, 195}, // memory that is mostly the program's own
+		{Fit{Linearithmic, 20, 0.01}, 0.01, 180},
+		{Fit{Quadratic, 3, 2e-4}, 0.05, 195},
+	} {
+		found, wrong := 0, 0
+		for seed := range uint64(200) {
+			points := draw(c.fit.At, c.noise, seed)
+			if Choose(points).Law == c.fit.Law {
+				found++
+			}
+			if !Predict(points).Right() {
+				wrong++
+			}
+		}
+		if found < c.least || wrong > 2 {
+			t.Errorf("%v with %g of noise was found %d times of 200 and refused %d times, want %d and 2", c.fit, c.noise, found, wrong, c.least)
+		}
+	}
+}
+
+// A law that holds up to the last size but one, and not there, is not used: nor is the best of the wrong ones.
+func TestWrongLawsAreRefused(t *testing.T) {
+	for name, f := range map[string]func(float64) float64{
+		"cubic":      func(n float64) float64 { return n * n * n },
+		"falls":      func(n float64) float64 { return 1e6 / n },
+		"bends last": func(n float64) float64 { return n + math.Max(0, n-8000) },
+		"levels off": func(n float64) float64 { return math.Min(n, 8000) },
+	} {
+		points := draw(f, 0.01, 1)
+		if p := Predict(points); p.Right() {
+			t.Errorf("%s: predicted %g by %s, measured %g, and it is used", name, p.Predicted, p.Law, p.Measured)
+		}
+		for n := 1.0; n < 1e8; n *= 10 {
+			if v := Choose(points).At(n); v < 0 {
+				t.Errorf("%s: %g at %g", name, v, n)
+			}
+		}
+	}
+}
+
+func TestReaches(t *testing.T) {
+	for _, f := range []Fit{{Linear, 10, 0.5}, {Linear, -10, 0.5}, {Linearithmic, 2, 0.1}, {Quadratic, 3, 2e-4}} {
+		for _, n := range []float64{100, 1e4, 2.8e6} {
+			if got, ok := f.Reaches(f.At(n)); !ok || math.Abs(got-n) > 1e-6*n {
+				t.Errorf("%v reaches %g at %g, want %g", f, f.At(n), got, n)
+			}
+		}
+	}
+	if n, ok := (Fit{Constant, 5, 0}).Reaches(6); ok {
+		t.Errorf("a constant of 5 passes 6 at %g", n)
+	}
+	if n, ok := (Fit{Linear, 5, 1}).Reaches(4); !ok || n != 0 {
+		t.Errorf("a law from 5 on passes 4 at %g, %v", n, ok)
+	}
+}
--- /dev/null
+++ b/internal/testbed/scale/fleetslope/fleetslope_test.go
@@ -0,0 +1,214 @@
+package fleetslope
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"os/exec"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"onyxroad.dev/onyxroad/internal/membership/gossip"
+	"onyxroad.dev/onyxroad/internal/testbed/process"
+	"onyxroad.dev/onyxroad/internal/testbed/scale"
+)
+
+func testEnv(t *testing.T) scale.Env {
+	return scale.Env{Dir: t.TempDir(), Log: slog.New(slog.DiscardHandler)}
+}
+
+// noneLeft tells of goroutines that stay. A look of the library's that is under way when it is shut down ends within its
+// interval.
+func noneLeft(t *testing.T) {
+	t.Helper()
+	var err error
+	for range 20 {
+		if err = goleak.Find(); err == nil {
+			return
+		}
+	}
+	t.Error(err)
+}
+
+func TestMembersMeetAndEnd(t *testing.T) {
+	defer noneLeft(t)
+	got, err := memberJoin().Measure(t.Context(), 5, 1, testEnv(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range settleFigures {
+		if got[f.Name] <= 0 {
+			t.Errorf("%s is %v", f.Name, got[f.Name])
+		}
+	}
+	if got["peak_bytes_s"] < got["mean_bytes_s"] || got["peak_cores"] < got["mean_cores"] {
+		t.Errorf("peaks below means: %v", got)
+	}
+}
+
+func TestWhatBeginsHalfEnds(t *testing.T) {
+	defer noneLeft(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := memberLossOne().Measure(ctx, 5, 1, testEnv(t)); !errors.Is(err, context.Canceled) {
+		t.Errorf("ended with %v", err)
+	}
+	if _, err := configList().Measure(t.Context(), 5, 1, testEnv(t)); err == nil {
+		t.Error("a relay without a program was measured")
+	}
+	if _, err := stewardDuties().Measure(t.Context(), 5, 1, testEnv(t)); err == nil {
+		t.Error("stewards without a program were measured")
+	}
+}
+
+func TestChildrenEnd(t *testing.T) {
+	defer noneLeft(t)
+	start := process.NewStarter()
+	defer start.End()
+	c, err := launch(start, t.TempDir(), exec.Command("sleep", "60"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := processTime(c.pid()); err != nil {
+		t.Error(err)
+	}
+	c.kill()
+	if c.cmd.ProcessState == nil || c.cmd.ProcessState.Success() {
+		t.Errorf("it has not ended by a signal: %v", c.cmd.ProcessState)
+	}
+	if _, err := processTime(c.pid()); err == nil {
+		t.Error("a process that has ended has processor time")
+	}
+}
+
+// A member's only seed is a listener that takes all it is sent and ends its answers at once: what has come there is what was
+// counted.
+func TestBytesCountedAreThoseSent(t *testing.T) {
+	defer noneLeft(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var came atomic.Int64
+	var conns sync.WaitGroup
+	heard := make(chan struct{}, 1)
+	conns.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Go(func() {
+				defer c.Close()
+				c.(*net.TCPConn).CloseWrite() // the answer: an end
+				n, err := io.Copy(io.Discard, c)
+				if err != nil {
+					t.Error(err)
+				}
+				came.Add(n)
+				select {
+				case heard <- struct{}{}:
+				default:
+				}
+			})
+		}
+	})
+	f, err := newMembers(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.begin(t.Context(), 0, f.all[0], []string{l.Addr().String()}, gossip.Join, testEnv(t)); err != nil {
+		t.Fatal(err)
+	}
+	<-heard
+	if err := f.close(); err != nil {
+		t.Error(err)
+	}
+	l.Close()
+	conns.Wait()
+	if f.bytes() != came.Load() || came.Load() == 0 {
+		t.Errorf("%d bytes were counted, %d came", f.bytes(), came.Load())
+	}
+}
+
+func TestWhatPassesTheMachineIsRefused(t *testing.T) {
+	limits := scale.Limits{Memory: 11 << 30, Processes: 300}
+	for _, s := range Slopes() {
+		if err := limits.Check(s, s.Sizes, s.Seeds); err != nil {
+			t.Errorf("%s: its own sizes: %v", s.Name, err)
+		}
+		if err := limits.Check(s, s.Small, s.Seeds); err != nil {
+			t.Errorf("%s: its small sizes: %v", s.Name, err)
+		}
+		huge := append(append([]int(nil), s.Sizes[:4]...), 1<<22)
+		if err := limits.Check(s, huge, s.Seeds); err == nil {
+			t.Errorf("%s: %d is not refused", s.Name, huge[4])
+		}
+	}
+	if _, err := newMembers(membersMost + 1); err == nil {
+		t.Error("more members than addresses")
+	}
+}
+
+func TestAgreementOfFewIsNone(t *testing.T) {
+	f, err := newMembers(3)
+	if err != nil {
+		t.Fatal(err)
+	}
+	see := func(i int, digest uint64, present int) { f.all[i].seen.Store(&sight{digest, present}) }
+	see(0, 7, 3)
+	see(1, 7, 3)
+	if f.agree(3) {
+		t.Error("one has told nothing yet")
+	}
+	see(2, 8, 3)
+	if f.agree(3) {
+		t.Error("one sees others")
+	}
+	see(2, 7, 3)
+	if !f.agree(3) || f.agree(2) {
+		t.Error("all see the same three")
+	}
+	f.all[2].gone.Store(true)
+	see(0, 5, 2)
+	see(1, 5, 2)
+	if !f.agree(f.live()) {
+		t.Error("the two that are left see the same")
+	}
+}
+
+func TestACutParts(t *testing.T) {
+	c := &cut{}
+	if c.between(memberAddr(0), memberAddr(1)) {
+		t.Error("parted before the cut")
+	}
+	c.parts.Store(cutParts)
+	for _, x := range []struct {
+		from, to int
+		parted   bool
+	}{{0, 1, true}, {0, 3, false}, {251, 500, false}, {250, 252, true}, {7, 7, false}} {
+		if got := c.between(memberAddr(x.from), memberAddr(x.to)); got != x.parted {
+			t.Errorf("%d and %d: parted is %v", x.from, x.to, got)
+		}
+	}
+	lost := &parted{nil, memberAddr(0), c}
+	if _, err := lost.WriteTo(make([]byte, 17), memberAddr(1)); err != nil || c.lost.Load() != 17 {
+		t.Errorf("%d bytes lost, %v", c.lost.Load(), err)
+	}
+	if _, err := lost.DialTimeout(memberAddr(1), 0); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a connection into the cut: %v", err)
+	}
+}
+
+func TestTheTrackerIsAgreedAfterEachChange(t *testing.T) {
+	got, err := memberView().Measure(t.Context(), 60, 1, testEnv(t))
+	if err != nil || got["heap_bytes"] <= 0 || got["gathered_ms"] != 110 {
+		t.Errorf("%v, %v", got, err)
+	}
+}
--- /dev/null
+++ b/internal/testbed/scale/fleetslope/memberslope.go
@@ -0,0 +1,154 @@
+package fleetslope
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/membership"
+	"onyxroad.dev/onyxroad/internal/membership/gossip"
+	"onyxroad.dev/onyxroad/internal/testbed/network"
+	"onyxroad.dev/onyxroad/internal/testbed/scale"
+)
+
+const restFor = 15 * time.Second
+
+const hollowAbout = "; hollow members in one process over loopback, each at its own address. Processor time is the process's, " +
+	"divided by its members; bytes count once, where they are sent, or where their connection was opened"
+
+// settleFigures are those of a change in the fleet.
+var settleFigures = []scale.Figure{
+	{Name: "settle_ms", Unit: "ms", About: "from the change until all live views that were told are the same"},
+	{Name: "peak_bytes_s", Unit: "bytes/s", About: "of one member, the mean of all in the fleet's busiest second"},
+	{Name: "mean_bytes_s", Unit: "bytes/s", About: "of one member, until the views are the same"},
+	{Name: "peak_cores", Unit: "cores", About: "of one member, the mean of all in the fleet's busiest second"},
+	{Name: "mean_cores", Unit: "cores", About: "of one member, until the views are the same"},
+}
+
+// memberSlope is what slopes of members have in common.
+func memberSlope(name, about string, figures []scale.Figure) scale.Slope {
+	return scale.Slope{Name: name, About: about + hollowAbout, Variable: "members", Sizes: []int{50, 100, 150, 200, 300},
+		Small: []int{4, 6, 8, 10, 12}, Seeds: []uint64{1, 2, 3}, Figures: figures,
+		Cost: func(size int) scale.Cost {
+			// What members hold of one another, and beside it their sockets, goroutines and packets under way.
+			return scale.Cost{Memory: int64(size) * (1<<20 + int64(size)*(8<<10))}
+		}}
+}
+
+// memberRest measures members of a fleet in which nothing happens.
+func memberRest() scale.Slope {
+	s := memberSlope("member-rest", "members of a fleet in which nothing happens", []scale.Figure{
+		{Name: "cores", Unit: "cores", About: "of one member, in the mean"},
+		{Name: "bytes_s", Unit: "bytes/s", About: "of one member, in the mean, between the full exchanges that come seldom"},
+		{Name: "exchange_bytes", Unit: "bytes", About: "of a full exchange, both ways; each member begins one every 30 s, and every " +
+			"30 s more seldom for each doubling beyond 32 members"},
+		{Name: "heap_bytes", Unit: "bytes", About: "of one member, after a collection"},
+		{Name: "resident_bytes", Unit: "bytes", About: "of one member: what the process holds beyond before, divided by its members"},
+	})
+	s.Sizes, s.Seeds = []int{50, 100, 150, 200, 250, 300}, []uint64{1} // nothing is drawn
+	s.Measure = func(ctx context.Context, size int, _ uint64, env scale.Env) (map[string]float64, error) {
+		before, err := ownMemory()
+		if err != nil {
+			return nil, err
+		}
+		var l load
+		var after memory
+		var exchange int64
+		err = withMembers(ctx, size, gossip.Join, env, func(f *members) error {
+			if l, err = f.during(size, func() error { return network.Sleep(ctx, restFor) }); err != nil {
+				return err
+			}
+			if after, err = ownMemory(); err != nil {
+				return err
+			}
+			exchange, err = f.exchange(ctx, gossip.Join, env)
+			return err
+		})
+		n := float64(size)
+		return map[string]float64{"cores": l.cores, "bytes_s": l.bytes, "exchange_bytes": float64(exchange),
+			"heap_bytes": (after.heap - before.heap) / n, "resident_bytes": (after.resident - before.resident) / n}, err
+	}
+	return s
+}
+
+// withMembers does something with a fleet whose members agree and have calmed down.
+func withMembers(ctx context.Context, size int, join membership.Join, env scale.Env,
+	do func(*members) error) (err error) {
+	f, err := newMembers(size)
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, f.close()) }()
+	if err := f.start(ctx, join, env); err != nil {
+		return err
+	}
+	if _, err := f.settle(ctx, time.Now()); err != nil {
+		return err
+	}
+	if err := f.calm(ctx); err != nil {
+		return err
+	}
+	return do(f)
+}
+
+// change measures what begin changes, until the live members agree again. n members pay for it.
+func (f *members) change(ctx context.Context, n int, begin func() error) (map[string]float64, error) {
+	var settled time.Duration
+	l, err := f.during(n, func() error {
+		began := time.Now()
+		err := begin()
+		if err == nil {
+			settled, err = f.settle(ctx, began)
+		}
+		return err
+	})
+	return l.figures(settled), err
+}
+
+// memberJoin measures a fleet all of whose members begin at once.
+func memberJoin() scale.Slope {
+	s := memberSlope("member-join", "all members of a fleet begin at once, with three of them as seeds", settleFigures)
+	s.Measure = func(ctx context.Context, size int, _ uint64, env scale.Env) (got map[string]float64, err error) {
+		f, err := newMembers(size)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { err = errors.Join(err, f.close()) }()
+		return f.change(ctx, size, func() error {
+			if err := f.start(ctx, gossip.Join, env); err != nil {
+				return err
+			}
+			f.serve()
+			return nil
+		})
+	}
+	return s
+}
+
+// memberLoss measures the end, without a word, of some members.
+func memberLoss(name, about string, lost func(size int) int) scale.Slope {
+	s := memberSlope(name, about, settleFigures)
+	s.Measure = func(ctx context.Context, size int, seed uint64, env scale.Env) (got map[string]float64, err error) {
+		rng := rand.New(rand.NewPCG(seed, uint64(size)))
+		err = withMembers(ctx, size, gossip.Join, env, func(f *members) error {
+			var gone []*hollow
+			for _, i := range rng.Perm(size)[:lost(size)] {
+				gone = append(gone, f.all[i])
+			}
+			got, err = f.change(ctx, size-len(gone), func() error { return f.end(gone...) })
+			return err
+		})
+		return got, err
+	}
+	return s
+}
+
+func memberLossOne() scale.Slope {
+	return memberLoss("member-loss-one", "one member ends without a word", func(int) int { return 1 })
+}
+
+func memberLossSixth() scale.Slope {
+	return memberLoss("member-loss-sixth", "a sixth of the members end without a word at once, as with a zone",
+		func(size int) int { return (size + 5) / 6 })
+}
--- /dev/null
+++ b/internal/testbed/scale/fleetslope/usage.go
@@ -0,0 +1,72 @@
+package fleetslope
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// ownTime is the processor time that this process has used.
+func ownTime() time.Duration {
+	var u unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
+		panic(err) // no such error for a process's own
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// processTime is the processor time that another process has used so far, to the nanosecond: the sum over its threads,
+// which a Go program keeps.
+func processTime(pid int) (sum time.Duration, err error) {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil || len(threads) == 0 {
+		return 0, fmt.Errorf("fleetslope: process %d has ended", pid)
+	}
+	for _, path := range threads {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			continue // a thread that ended meanwhile
+		}
+		ns, err := strconv.ParseInt(strings.Fields(string(data) + " -")[0], 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("fleetslope: %s: %w", path, err)
+		}
+		sum += time.Duration(ns)
+	}
+	return sum, nil
+}
+
+// resident is the memory that a process holds, in bytes; "self" is this one.
+func resident(pid string) (float64, error) {
+	data, err := os.ReadFile("/proc/" + pid + "/status")
+	if err != nil {
+		return 0, fmt.Errorf("fleetslope: %w", err)
+	}
+	for line := range strings.Lines(string(data)) {
+		if value, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, err := strconv.ParseFloat(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")), 64)
+			return kb * 1024, err
+		}
+	}
+	return 0, fmt.Errorf("fleetslope: process %s has ended", pid)
+}
+
+// memory is what this process holds, in bytes: heap after a collection, and resident once what is free was given back.
+type memory struct{ heap, resident float64 }
+
+func ownMemory() (m memory, err error) {
+	runtime.GC()
+	debug.FreeOSMemory()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	m.heap = float64(s.HeapAlloc)
+	m.resident, err = resident("self")
+	return m, err
+}
--- /dev/null
+++ b/internal/testbed/scale/fleetslope/view.go
@@ -0,0 +1,97 @@
+package fleetslope
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"runtime"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/membership"
+	"onyxroad.dev/onyxroad/internal/membership/gossip"
+	"onyxroad.dev/onyxroad/internal/testbed/scale"
+)
+
+const (
+	viewChanges = 20
+	// What a tracker gets of one change. The slopes of members measured a settling within 5 s; a view counts as agreed on 3 s
+	// after it changed last, and each second a member is told some two views of others.
+	ticksOfChange  = 8
+	digestsOfTicks = 2
+)
+
+// memberView measures the tracker alone, for fleets that don't fit a machine, driven by what smaller ones were measured to have.
+func memberView() scale.Slope {
+	return scale.Slope{
+		Name: "member-view",
+		About: "the tracker of views alone, by the events that members of smaller fleets have of one member's end and of its return: " +
+			"one of the library's, eight ticks and sixteen digests",
+		Variable: "members", Sizes: []int{700, 1400, 2800, 5600, 11000}, Small: []int{50, 100, 200, 400, 800}, Seeds: []uint64{1, 2, 3},
+		Figures: []scale.Figure{
+			{Name: "change_cpu_us", Unit: "us", About: "processor time of one change, until it is agreed on"},
+			{Name: "heap_bytes", Unit: "bytes", About: "of the tracker with its view, after a collection"},
+			{Name: "gathered_ms", Unit: "ms", About: "for which changes are gathered before a view is told: a setting, not measured"},
+		},
+		Cost:    func(size int) scale.Cost { return scale.Cost{Memory: 64<<20 + int64(size)*(8<<10)} },
+		Measure: measureView,
+	}
+}
+
+func measureView(ctx context.Context, size int, seed uint64, _ scale.Env) (map[string]float64, error) {
+	rng := rand.New(rand.NewPCG(seed, uint64(size)))
+	process := func(i int, incarnation uint64) membership.Process {
+		name := fmt.Sprintf("relay-%05d", i)
+		return membership.Process{Name: name, Building: fmt.Sprintf("zone-%d", i%buildings), Addr: memberAddr(i),
+			Admin: memberAddr(i), Incarnation: 1_700_000_000_000 + incarnation, Folder: fmt.Sprintf("FOLDER%06d", i),
+			Version: "0123456789ab", State: membership.Serving}
+	}
+	before, err := ownMemory()
+	if err != nil {
+		return nil, err
+	}
+	now := time.Now() // the tracker's clock, which goes on as it is told
+	t := membership.NewTracker(process(0, 1), size, now)
+	for i := 1; i < size; i++ {
+		t.Heard(process(i, 1), now)
+	}
+	last := t.View()
+	after, err := ownMemory()
+	if err != nil {
+		return nil, err
+	}
+	log := slog.New(slog.DiscardHandler)
+	// agree has time pass until a change is agreed on, and tells the view, as a member does.
+	agree := func() {
+		for range ticksOfChange {
+			now = now.Add(time.Second)
+			for range digestsOfTicks {
+				t.Told(fmt.Sprintf("relay-%05d", 1+rng.IntN(size-1)), t.View().Digest, now)
+			}
+			t.Tick(now)
+			if v := t.View(); v.Version != last.Version {
+				came, gone := v.Changes(last)
+				log.Info("view", "came", came, "gone", gone)
+				last = v
+			}
+		}
+	}
+	began := ownTime()
+	for range viewChanges / 2 {
+		i := 1 + rng.IntN(size-1)
+		t.Lost(process(i, 1), false, now)
+		agree()
+		t.Heard(process(i, 1), now)
+		agree()
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+	}
+	spent := ownTime() - began
+	if v := t.View(); v.Present != size || v.Agreement != membership.Agreed {
+		return nil, fmt.Errorf("fleetslope: the tracker ends with %d members of %d, %s", v.Present, size, v.Agreement)
+	}
+	runtime.KeepAlive(t)
+	return map[string]float64{"change_cpu_us": float64(spent.Microseconds()) / viewChanges, "heap_bytes": after.heap - before.heap,
+		"gathered_ms": millis(gossip.GatherFor(size))}, nil
+}
--- /dev/null
+++ b/internal/testbed/scale/relayslope/log.go
@@ -0,0 +1,160 @@
+package relayslope
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/disk"
+	"onyxroad.dev/onyxroad/internal/testbed/scale"
+	"onyxroad.dev/onyxroad/internal/wal"
+)
+
+// The log alone: a process that opens one, and has it compacted.
+
+// logJob is a log to be opened.
+type logJob struct {
+	Dir      string
+	Limit    int64 // bytes
+	Segments bool
+}
+
+// logState is what opening it came to.
+type logState struct {
+	OpenCPU, OpenWall time.Duration
+	Held              int
+	Heap              int64 // bytes, after a collection, that the log and what it holds take
+	Disk              int64 // bytes, once it is open
+	Compact           int64 // bytes that a compaction wrote
+}
+
+func (j *logJob) options() wal.Options {
+	o := wal.Options{Dir: j.Dir, Limit: j.Limit}
+	if j.Segments {
+		o.Format, o.Name = wal.Format, "hollow"
+	}
+	return o
+}
+
+// run opens the log, tells what it took, and goes on until the log compacts itself.
+func (j *logJob) run() (*logState, error) {
+	before := heap()
+	o := j.options()
+	files := &counted{FS: disk.Dir(j.Dir)}
+	o.FS = files
+	began, spent := time.Now(), processTime()
+	l, found, err := wal.OpenWith(o)
+	s := &logState{OpenWall: time.Since(began), OpenCPU: processTime() - spent, Held: len(found.Messages)}
+	if err != nil {
+		return nil, fmt.Errorf("relayslope: %w", err)
+	}
+	if s.Heap = heap() - before; s.Held == 0 {
+		return nil, errors.Join(errors.New("relayslope: the log holds nothing"), l.Close())
+	}
+	if s.Disk, err = onDisk(j.Dir); err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
+	// Outcomes fill the log until it is compacted; what is held stays as it is.
+	files.beside.Store(0)
+	files.put.Store(false)
+	for at := time.Now(); !files.put.Load(); {
+		var sends []wal.Send
+		for i := range min(250, s.Held) {
+			m := found.Messages[i]
+			sends = append(sends, wal.Send{Message: m, Attempt: wal.Attempt{N: m.Attempts, Host: "s-00000000", At: at}})
+		}
+		if err := l.Sent(sends...); err != nil {
+			return nil, errors.Join(fmt.Errorf("relayslope: %w", err), l.Close())
+		}
+		for _, x := range sends {
+			l.NeverRan(x.Message, x.Attempt.N)
+		}
+	}
+	s.Compact = files.beside.Load()
+	return s, l.Close()
+}
+
+// counted counts what is written to files that are then put in the place of others: a compaction's.
+type counted struct {
+	disk.FS
+	beside atomic.Int64 // bytes
+	put    atomic.Bool
+}
+
+// Open opens a file. Only what is made for a compaction is renamed later.
+func (c *counted) Open(name string) (disk.File, error) {
+	f, err := c.FS.Open(name)
+	if filepath.Ext(name) == ".tmp" && err == nil {
+		f = countedFile{f, c}
+	}
+	return f, err
+}
+
+func (c *counted) Rename(from, to string) error {
+	c.put.Store(true)
+	return c.FS.Rename(from, to)
+}
+
+type countedFile struct {
+	disk.File
+	c *counted
+}
+
+func (f countedFile) WriteAt(p []byte, off int64) (int, error) {
+	n, err := f.File.WriteAt(p, off)
+	f.c.beside.Add(int64(n))
+	return n, err
+}
+
+// onDisk is what the files of a folder take, in bytes.
+func onDisk(dir string) (n int64, err error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return 0, fmt.Errorf("relayslope: %w", err)
+	}
+	for _, e := range entries {
+		info, err := e.Info()
+		if err != nil {
+			return 0, fmt.Errorf("relayslope: %w", err)
+		}
+		if st, ok := info.Sys().(*syscall.Stat_t); ok && info.Mode().IsRegular() {
+			n += st.Blocks * 512
+		}
+	}
+	return n, nil
+}
+
+// measureLog measures a log with so many messages held.
+func measureLog(ctx context.Context, held int, env scale.Env, segments bool) (map[string]float64, error) {
+	j := &logJob{Dir: filepath.Join(env.Dir, "log"), Segments: segments}
+	if err := os.Mkdir(j.Dir, 0o700); err != nil {
+		return nil, fmt.Errorf("relayslope: %w", err)
+	}
+	// As small as takes them all: it is compacted as soon as anything comes on top.
+	j.Limit = 1<<20 + int64(held)*1700
+	if err := writeLog(j.options(), held, func(i int) (class, dest int) { return 1, i % 2000 }); err != nil {
+		return nil, err
+	}
+	c, err := start(ctx, env.Dir, job{Log: j})
+	if err != nil {
+		return nil, err
+	}
+	if err := c.end(); err != nil {
+		return nil, err
+	}
+	s := c.first.Log
+	if s == nil || s.Held != held {
+		return nil, fmt.Errorf("relayslope: the log does not hold %d messages: %+v", held, s)
+	}
+	return map[string]float64{
+		"heap_bytes": float64(s.Heap), "disk_bytes": float64(s.Disk), "open_cpu_ms": millis(s.OpenCPU),
+		"open_ms": millis(s.OpenWall), "compact_bytes": float64(s.Compact),
+	}, nil
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/testbed/scale/relayslope/slopes.go
@@ -0,0 +1,262 @@
+// Package relayslope measures how a relay and its log grow: with what is listed, what is held, and what comes in. A real
+// relay, its decision module, network side and log, runs in a process of its own, so that what it uses can be told from
+// what the testbed does. Around it is a hollow platform on loopback: an agent with a list, an endpoint that answers at
+// once, and one that takes nothing. What is left out: slow partners, faults, other relays, the fleet.
+package relayslope
+
+import (
+	"context"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/testbed/scale"
+)
+
+const (
+	steadyRate = 200.0 // messages a second under which a step is measured
+	steadyFor  = 3 * time.Second
+	idleFor    = time.Second
+	eventsFor  = 4 * time.Second
+	changesNo  = 150
+	changeEach = 10 * time.Millisecond
+	// refusedFor is how long a destination has to refuse until it is tried as seldom as it will be: skips of 2 s to 10 s.
+	refusedFor = 30 * time.Second
+	// skipFor is the longest pause between two tries and a half: tries come in waves, since all began at one time.
+	skipFor = 15 * time.Second
+	// downHeld is how many messages are held for a destination that is down: 61 billion over 11,000 relays and 104,000 of these.
+	downHeld   = 55
+	someHealth = 20 // destinations that take all, beside those that take none
+)
+
+// Of what a relay takes, in bytes; of what the testbed's own process takes for it too.
+const (
+	relayBytes  = 96 << 20
+	listedBytes = 24 << 10 // a destination listed, with two routes
+	heldBytes   = 8 << 10  // a message held
+	eventBytes  = 64 << 10 // an event a second
+	loggedBytes = 8 << 10  // a message in a log alone
+)
+
+// Slopes returns the relay's and the log's slopes.
+func Slopes() []scale.Slope {
+	return []scale.Slope{
+		listed(), held("relay-held-few", 20), held("relay-held-many", 2000), events(), logged("log-single", false), logged("log-segments", true),
+		refusing(), owing(),
+	}
+}
+
+// Figures that several slopes have.
+var (
+	heapBytes = scale.Figure{Name: "heap_bytes", Unit: "bytes", About: "the relay's heap after a collection"}
+	resBytes  = scale.Figure{Name: "resident_bytes", Unit: "bytes", About: "the relay's resident memory under the steady load, garbage and all"}
+	stepCPU   = scale.Figure{Name: "step_cpu_us", Unit: "us", About: "processor time of the loop's thread for each message of a steady 200 a second " +
+		"that is taken in and delivered: two steps or three of module, relay and log, and what is done between them"}
+	eventCPU = scale.Figure{Name: "event_cpu_us", Unit: "us", About: "processor time of the whole relay for each message that is taken in and delivered"}
+	idle     = scale.Figure{Name: "idle_cores", Unit: "cores", About: "processor time of the whole relay in a second without load"}
+	startCPU = scale.Figure{Name: "start_cpu_ms", Unit: "ms", About: "processor time from the process's beginning until clients are let in"}
+	startMS  = scale.Figure{Name: "start_ms", Unit: "ms", About: "time from the process's beginning until clients are let in"}
+)
+
+// seeds are where chance has a part: in ports, in the relays' lots, in what the machine does meanwhile.
+var seeds = []uint64{1, 2, 3}
+
+func listed() scale.Slope {
+	return scale.Slope{
+		Name: "relay-listed", Variable: "destinations listed",
+		About: "a real relay in a process of its own that is started with a list, two routes to a destination, and holds nothing",
+		Sizes: []int{500, 1000, 2000, 4000, 8000, 16000}, Small: []int{50, 100, 200, 400, 800}, Seeds: seeds,
+		Figures: []scale.Figure{heapBytes, resBytes, startCPU, startMS,
+			{Name: "change_cpu_us", Unit: "us", About: "processor time of the whole relay for a change of one entry of the list, above what it uses idle"},
+			stepCPU, eventCPU, idle,
+			{Name: "list_bytes", Unit: "bytes", About: "what the whole list weighs as discovery tells it"}},
+		Cost: func(n int) scale.Cost { return scale.Cost{Memory: relayBytes + int64(n)*listedBytes, Processes: 1} },
+		Measure: func(ctx context.Context, n int, seed uint64, env scale.Env) (map[string]float64, error) {
+			return measure(ctx, Spec{Healthy: n}, seed, env)
+		},
+	}
+}
+
+func held(name string, destinations int) scale.Slope {
+	return scale.Slope{
+		Name: name, Variable: "messages held",
+		About: "a real relay in a process of its own, started on a log of messages that it holds untried, for destinations that told it to wait for hours",
+		Sizes: []int{2000, 4000, 8000, 16000, 32000, 64000}, Small: []int{200, 400, 800, 1600, 3200}, Seeds: seeds,
+		Figures: []scale.Figure{heapBytes, resBytes, stepCPU, eventCPU, idle, startCPU, startMS},
+		Cost: func(n int) scale.Cost {
+			return scale.Cost{Memory: relayBytes + int64(destinations)*listedBytes + int64(n)*heldBytes, Processes: 1}
+		},
+		Measure: func(ctx context.Context, n int, seed uint64, env scale.Env) (map[string]float64, error) {
+			return measure(ctx, Spec{Healthy: someHealth, Down: destinations, Held: n}, seed, env)
+		},
+	}
+}
+
+func events() scale.Slope {
+	return scale.Slope{
+		Name: "relay-events", Variable: "events a second",
+		About: "a real relay in a process of its own that takes messages in and delivers each at once, 20 destinations listed",
+		Sizes: []int{50, 100, 200, 400, 800, 1600}, Small: []int{20, 40, 80, 160, 320}, Seeds: seeds,
+		Figures: []scale.Figure{
+			{Name: "cores", Unit: "cores", About: "processor time of the whole relay in a second"},
+			eventCPU, stepCPU,
+			{Name: "p99_ms", Unit: "ms", About: "99th percentile of the time from a hand-in to the call at the endpoint, on the clock"},
+			resBytes},
+		Cost: func(n int) scale.Cost { return scale.Cost{Memory: relayBytes + int64(n)*eventBytes, Processes: 1} },
+		Measure: func(ctx context.Context, n int, seed uint64, env scale.Env) (map[string]float64, error) {
+			return measureEvents(ctx, float64(n), seed, env)
+		},
+	}
+}
+
+// refusing is a relay some of whose destinations refuse connections, with messages held for each as many as the target has: a
+// destination that is down is tried again and again, which costs what it costs without a message coming in.
+func refusing() scale.Slope {
+	return scale.Slope{
+		Name: "relay-down", Variable: "destinations down",
+		About: "a real relay in a process of its own, with 55 messages held for each of the destinations that refuse connections, " +
+			"half a minute after its start and on: every pause between two tries is as long as it gets",
+		Sizes: []int{100, 200, 400, 800, 1600}, Small: []int{5, 10, 20, 40, 80}, Seeds: seeds,
+		Figures: []scale.Figure{
+			{Name: "cores", Unit: "cores", About: "processor time of the whole relay in a second without load"},
+			{Name: "loop_cores", Unit: "cores", About: "of that, the thread's of the relay's loop: module, relay and log"},
+			resBytes,
+			{Name: "p99_ms", Unit: "ms", About: "99th percentile, on the clock, of the time from a hand-in to the call at an endpoint that answers, " +
+				"200 messages a second"}},
+		Cost: func(n int) scale.Cost {
+			return scale.Cost{Memory: relayBytes + int64(n)*(listedBytes+downHeld*heldBytes), Processes: 1}
+		},
+		Measure: func(ctx context.Context, n int, seed uint64, env scale.Env) (map[string]float64, error) {
+			return measureRefusing(ctx, Spec{Healthy: someHealth, Down: n, Held: downHeld * n, Refused: true}, seed, env)
+		},
+	}
+}
+
+// measureRefusing measures what destinations that refuse connections cost.
+func measureRefusing(ctx context.Context, s Spec, seed uint64, env scale.Env) (x map[string]float64, err error) {
+	h, err := s.run(ctx, seed, env)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = endWith(err, h) }()
+	if err := h.pin(ctx); err != nil {
+		return nil, err
+	}
+	if err := rest(ctx, refusedFor); err != nil {
+		return nil, err
+	}
+	quiet, err := h.over(func() error { return rest(ctx, skipFor) })
+	if err != nil {
+		return nil, err
+	}
+	l, _, err := h.deliver(ctx, steadyRate, steadyFor)
+	if err != nil {
+		return nil, err
+	}
+	end, err := h.ask(askUsage)
+	if err != nil {
+		return nil, err
+	}
+	return map[string]float64{
+		"cores": quiet.cpu.Seconds() / quiet.wall.Seconds(), "loop_cores": quiet.loop.Seconds() / quiet.wall.Seconds(),
+		"p99_ms": l.p99(), "resident_bytes": float64(end.Resident),
+	}, h.holds(ctx)
+}
+
+func logged(name string, segments bool) scale.Slope {
+	about := "a log in one file, opened by a process of its own"
+	if segments {
+		about = "a log in segments, opened by a process of its own"
+	}
+	return scale.Slope{
+		Name: name, Variable: "messages held", About: about,
+		Sizes: []int{5000, 10000, 20000, 40000, 80000, 160000}, Small: []int{200, 400, 800, 1600, 3200}, Seeds: seeds,
+		Figures: []scale.Figure{
+			{Name: "heap_bytes", Unit: "bytes", About: "heap that the open log takes, with all that it holds, after a collection"},
+			{Name: "disk_bytes", Unit: "bytes", About: "what its files take of the disk once it is open"},
+			{Name: "open_cpu_ms", Unit: "ms", About: "processor time of opening it"},
+			{Name: "open_ms", Unit: "ms", About: "time of opening it"},
+			{Name: "compact_bytes", Unit: "bytes", About: "what a compaction writes"}},
+		Cost: func(n int) scale.Cost { return scale.Cost{Memory: relayBytes + int64(n)*loggedBytes, Processes: 1} },
+		Measure: func(ctx context.Context, n int, _ uint64, env scale.Env) (map[string]float64, error) {
+			return measureLog(ctx, n, env, segments)
+		},
+	}
+}
+
+// measure measures all that a relay's size has a part in.
+func measure(ctx context.Context, s Spec, seed uint64, env scale.Env) (x map[string]float64, err error) {
+	h, err := s.run(ctx, seed, env)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = endWith(err, h) }()
+	if err := h.pin(ctx); err != nil {
+		return nil, err
+	}
+	quiet, err := h.over(func() error { return rest(ctx, idleFor) })
+	if err != nil {
+		return nil, err
+	}
+	x = map[string]float64{
+		"start_cpu_ms": millis(h.first.CPU), "start_ms": millis(h.first.Wall),
+		"idle_cores": quiet.cpu.Seconds() / quiet.wall.Seconds(), "list_bytes": float64(h.listBytes()),
+	}
+	if s.Held == 0 {
+		u, err := h.changes(ctx, changesNo, changeEach)
+		if err != nil {
+			return nil, err
+		}
+		x["change_cpu_us"] = max(0, micros(u.cpu)-x["idle_cores"]*micros(u.wall)) / (changesNo + 1)
+	}
+	if err := h.loaded(ctx, x, steadyRate, steadyFor); err != nil {
+		return nil, err
+	}
+	end, err := h.ask(askHeap)
+	x["resident_bytes"], x["heap_bytes"] = float64(end.Resident), float64(end.Heap)
+	if err != nil {
+		return nil, err
+	}
+	return x, h.holds(ctx)
+}
+
+// loaded measures a steady load.
+func (h *hollow) loaded(ctx context.Context, x map[string]float64, rate float64, d time.Duration) error {
+	if _, _, err := h.deliver(ctx, rate, d/3); err != nil { // connections and heap are as they stay
+		return err
+	}
+	l, u, err := h.deliver(ctx, rate, d)
+	if err != nil {
+		return err
+	}
+	n := float64(len(l.began))
+	x["step_cpu_us"], x["event_cpu_us"] = micros(u.loop)/n, micros(u.cpu)/n
+	x["cores"], x["p99_ms"] = u.cpu.Seconds()/u.wall.Seconds(), l.p99()
+	return nil
+}
+
+func measureEvents(ctx context.Context, rate float64, seed uint64, env scale.Env) (x map[string]float64, err error) {
+	h, err := Spec{Healthy: someHealth}.run(ctx, seed, env)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = endWith(err, h) }()
+	if err := h.pin(ctx); err != nil {
+		return nil, err
+	}
+	x = map[string]float64{}
+	if err := h.loaded(ctx, x, rate, eventsFor); err != nil {
+		return nil, err
+	}
+	end, err := h.ask(askUsage)
+	x["resident_bytes"] = float64(end.Resident)
+	return x, err
+}
+
+// endWith ends a hollow relay, and returns the error of what was done with it before that of its end.
+func endWith(err error, h *hollow) error {
+	if e := h.end(); err == nil {
+		err = e
+	}
+	return err
+}
+
+func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
--- /dev/null
+++ b/internal/testbed/scale/relayslope/slopes_test.go
@@ -0,0 +1,169 @@
+package relayslope
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/relay"
+	"onyxroad.dev/onyxroad/internal/testbed/scale"
+)
+
+// The children are this binary under another argument.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 3 && os.Args[1] == ChildCommand {
+		if err := Child(context.Background(), os.Args[2], os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func testEnv(t *testing.T) scale.Env {
+	return scale.Env{Dir: t.TempDir(), Log: slog.New(slog.DiscardHandler)}
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// What is held is held untried but for the first of each destination, however it came and however the log is kept, and a relay
+// that holds it still delivers what it can.
+func TestAHollowRelayHolds(t *testing.T) {
+	for name, s := range map[string]Spec{
+		"from the log":  {Healthy: 3, Down: 4, Held: 60},
+		"half by HTTP":  {Healthy: 3, Down: 4, Held: 60, HandedIn: 30},
+		"all by HTTP":   {Healthy: 3, Down: 4, Held: 60, HandedIn: 60},
+		"in segments":   {Healthy: 3, Down: 4, Held: 60, Change: func(c *relay.Config) { c.Segments = true }},
+		"with refusals": {Healthy: 3, Down: 4, Held: 60, Refused: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, err := s.run(t.Context(), 1, testEnv(t))
+			must(t, err)
+			defer func() { must(t, h.end()) }()
+			must(t, h.pin(t.Context()))
+			l, u, err := h.deliver(t.Context(), 500, 100*time.Millisecond)
+			must(t, err)
+			if u.cpu <= 0 || u.loop <= 0 || u.loop > u.cpu || l.p99() <= 0 {
+				t.Errorf("50 messages took %v of processor time, the loop %v of it, p99 %v ms", u.cpu, u.loop, l.p99())
+			}
+			_, err = h.changes(t.Context(), 5, time.Millisecond)
+			must(t, err)
+			must(t, h.holds(t.Context()))
+			x, err := h.figures(t.Context())
+			must(t, err)
+			if x["relay.current"] != 60 || x["relay.cluster_size"] != 15 {
+				t.Errorf("holds %d, lists %d routes", x["relay.current"], x["relay.cluster_size"])
+			}
+			// What comes all at once may go out twice to each of two routes before the first answer is back.
+			least, most := int64(4), int64(4)
+			if s.Refused {
+				least, most = 0, 0
+			} else if s.HandedIn > 0 {
+				most = 4 * routesEach * 2
+			}
+			if n := h.turned.Load(); n < least || n > most {
+				t.Errorf("%d calls were turned away, for 4 destinations that told a wait: %d to %d", n, least, most)
+			}
+		})
+	}
+}
+
+// A relay that holds more takes more, in its own process.
+func TestAChildTellsItsOwnMemory(t *testing.T) {
+	heapOf := func(held int) int64 {
+		h, err := Spec{Healthy: 1, Down: 20, Held: held}.run(t.Context(), 1, testEnv(t))
+		must(t, err)
+		defer func() { must(t, h.end()) }()
+		s, err := h.ask(askHeap)
+		must(t, err)
+		if s.Heap <= 0 || s.Resident <= s.Heap || s.CPU <= h.first.CPU {
+			t.Errorf("state %+v, at first %+v", s, h.first)
+		}
+		return s.Heap
+	}
+	if few, many := heapOf(100), heapOf(4100); many-few < 4000*bodyBytes {
+		t.Errorf("100 messages take %d bytes, 4,100 take %d: less than their bodies more", few, many)
+	}
+}
+
+// Whatever becomes of a start, nothing of it is left.
+func TestAHollowRelayEndsAllItStarted(t *testing.T) {
+	h, err := Spec{Healthy: 1}.run(t.Context(), 1, testEnv(t))
+	must(t, err)
+	pid := h.cmd.Process.Pid
+	must(t, h.end())
+	if err := syscall.Kill(pid, 0); !errors.Is(err, syscall.ESRCH) {
+		t.Errorf("the child is there still: %v", err)
+	}
+	for _, addr := range []string{h.agent, h.healthy, h.none, h.cfg.Listen, h.cfg.Admin} {
+		if c, err := net.Dial("tcp", addr); err == nil {
+			c.Close()
+			t.Errorf("something listens at %s", addr)
+		}
+	}
+	h, err = Spec{Healthy: 1, Change: func(c *relay.Config) { c.StateDir += "/missing" }}.run(t.Context(), 1, testEnv(t))
+	if err == nil || h != nil {
+		t.Errorf("a relay without a folder runs: %v", err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := (Spec{Healthy: 1}).run(ctx, 1, testEnv(t)); !errors.Is(err, context.Canceled) {
+		t.Errorf("a start that was given up ends with %v", err)
+	}
+}
+
+// An endpoint is called once for a message, and what comes again, or of another load, counts for nothing.
+func TestALoadCountsEachDeliveryOnce(t *testing.T) {
+	l := newLoad("", 7, 2, classQuick, time.Second, nil)
+	l.began[0].Store(1)
+	l.began[1].Store(1)
+	for _, trace := range []string{traceText(7, 0), traceText(7, 0), traceText(8, 1), traceText(7, 2), "", "x"} {
+		l.delivered(trace)
+	}
+	if n := l.left.Load(); n != 1 {
+		t.Errorf("%d are left, want 1", n)
+	}
+	l.delivered(traceText(7, 1))
+	must(t, l.all(t.Context()))
+}
+
+func TestALogGrowsAndIsCompacted(t *testing.T) {
+	for _, segments := range []bool{false, true} {
+		few, err := measureLog(t.Context(), 300, testEnv(t), segments)
+		must(t, err)
+		many, err := measureLog(t.Context(), 3000, testEnv(t), segments)
+		must(t, err)
+		for _, name := range []string{"heap_bytes", "disk_bytes", "compact_bytes"} {
+			if few[name] < 300*bodyBytes || many[name] < 5*few[name] || many[name] > 20*few[name] {
+				t.Errorf("segments %v: %s is %v with 300 messages and %v with 3,000", segments, name, few[name], many[name])
+			}
+		}
+		if few["open_cpu_ms"] <= 0 || few["open_ms"] <= 0 {
+			t.Errorf("opened in %v ms, %v of processor time", few["open_ms"], few["open_cpu_ms"])
+		}
+	}
+}
+
+// Every slope can be run at its sizes, within half of a machine of 24 GB.
+func TestSlopesMakeSense(t *testing.T) {
+	limits := scale.Limits{Memory: 12 << 30, Processes: 300}
+	for _, s := range Slopes() {
+		must(t, limits.Check(s, s.Sizes, s.Seeds))
+		must(t, limits.Check(s, s.Small, s.Seeds))
+		if limits.Check(s, append(s.Sizes, 1<<28), s.Seeds) == nil {
+			t.Errorf("%s would be tried at any size", s.Name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/testbed/scale/result.go
@@ -0,0 +1,264 @@
+package scale
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+// Units are what figures are counted in, with what they mean.
+var Units = map[string]string{
+	"us": "microseconds", "ms": "milliseconds", "s": "seconds", "bytes": "bytes", "bytes/s": "bytes a second",
+	"cores": "seconds of processor time a second", "1": "a count", "1/s": "a count a second",
+}
+
+// endings say what unit a figure's name promises.
+var endings = []struct{ ending, unit string }{
+	{"_us", "us"}, {"_ms", "ms"}, {"bytes_s", "bytes/s"}, {"_bytes", "bytes"}, {"cores", "cores"},
+}
+
+// checkUnit tells what is wrong with a figure's unit.
+func checkUnit(name, unit string) error {
+	if _, ok := Units[unit]; !ok {
+		return fmt.Errorf("%q is no unit", unit)
+	}
+	for _, e := range endings {
+		if strings.HasSuffix(name, e.ending) && unit != e.unit {
+			return fmt.Errorf("%q makes no sense for %s, which is in %s", unit, name, e.unit)
+		}
+	}
+	return nil
+}
+
+// Result is what a slope measured, as it stands in a file of capacity/. Every sample is kept as it was measured.
+type Result struct {
+	Slope     string   `json:"slope"`
+	About     string   `json:"about"`
+	Variable  string   `json:"variable"` // what a size counts
+	Revision  string   `json:"revision"` // with + behind it where the work differed
+	Cores     int      `json:"cores"`    // of the machine
+	Go        string   `json:"go"`
+	LoadBegin float64  `json:"load_begin"` // the machine's load over the minute before
+	LoadEnd   float64  `json:"load_end"`
+	Sizes     []int    `json:"sizes"` // rising
+	Seeds     []uint64 `json:"seeds"`
+	Figures   []Grown  `json:"figures"`
+}
+
+// Grown is one figure over the sizes, with its law.
+type Grown struct {
+	Name       string      `json:"name"`
+	Unit       string      `json:"unit"`
+	About      string      `json:"about"`
+	Samples    [][]float64 `json:"samples"` // of each size, those of each seed
+	Fit        Fit         `json:"fit"`
+	Prediction Prediction  `json:"prediction"`
+	Used       bool        `json:"used"` // the prediction was right, so that the law may be
+}
+
+// Points are the medians over the seeds.
+func (g Grown) Points(sizes []int) []Point {
+	points := make([]Point, len(sizes))
+	for i, n := range sizes {
+		points[i] = Point{Size: float64(n), Value: Median(g.Samples[i])}
+	}
+	return points
+}
+
+// assess fits and judges.
+func (g *Grown) assess(sizes []int) {
+	points := g.Points(sizes)
+	g.Fit, g.Prediction = Choose(points), Predict(points)
+	g.Used = g.Prediction.Right()
+}
+
+// Figure finds a figure by its name.
+func (r *Result) Figure(name string) (Grown, bool) {
+	i := slices.IndexFunc(r.Figures, func(g Grown) bool { return g.Name == name })
+	if i < 0 {
+		return Grown{}, false
+	}
+	return r.Figures[i], true
+}
+
+// Join adds the samples of other seeds, measured later at the same revision and sizes.
+func (r *Result) Join(later *Result) error {
+	switch {
+	case r.Slope != later.Slope || r.Variable != later.Variable || !slices.Equal(r.Sizes, later.Sizes):
+		return fmt.Errorf("scale: %s was measured at other sizes: %d, not %d", r.Slope, r.Sizes, later.Sizes)
+	case r.Revision != later.Revision || r.Cores != later.Cores || r.Go != later.Go:
+		return fmt.Errorf("scale: %s was measured at %s on %d cores with %s, not at %s on %d with %s", r.Slope,
+			r.Revision, r.Cores, r.Go, later.Revision, later.Cores, later.Go)
+	case slices.ContainsFunc(later.Seeds, func(s uint64) bool { return slices.Contains(r.Seeds, s) }):
+		return fmt.Errorf("scale: %s was measured on some of the seeds %d before", r.Slope, later.Seeds)
+	case !slices.EqualFunc(r.Figures, later.Figures, func(a, b Grown) bool { return a.Name == b.Name && a.Unit == b.Unit }):
+		return fmt.Errorf("scale: %s was measured in other figures", r.Slope)
+	}
+	r.Seeds, r.LoadEnd = append(r.Seeds, later.Seeds...), later.LoadEnd
+	for i := range r.Figures {
+		for j := range r.Sizes {
+			r.Figures[i].Samples[j] = append(r.Figures[i].Samples[j], later.Figures[i].Samples[j]...)
+		}
+		r.Figures[i].assess(r.Sizes)
+	}
+	return nil
+}
+
+// Encode is the file's text: the same for the same result.
+func (r *Result) Encode() ([]byte, error) {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	e.SetIndent("", "  ")
+	if err := e.Encode(r); err != nil {
+		return nil, fmt.Errorf("scale: %s: %w", r.Slope, err)
+	}
+	return b.Bytes(), nil
+}
+
+// Write puts the result into its file in a folder and returns the file's path.
+func (r *Result) Write(dir string) (string, error) {
+	data, err := r.Encode()
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, r.Slope+".json")
+	if err := errors.Join(os.MkdirAll(dir, 0o755), os.WriteFile(path, data, 0o644)); err != nil {
+		return "", fmt.Errorf("scale: %w", err)
+	}
+	return path, nil
+}
+
+// ReadResult reads the file at path.
+func ReadResult(path string) (*Result, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("scale: %w", err)
+	}
+	return ParseResult(path, data)
+}
+
+// ParseResult reads the text of the file at path, strictly: what is unknown, missing or makes no sense is an error that
+// names file, line and key, and so is a law that the samples don't give.
+func ParseResult(path string, data []byte) (*Result, error) {
+	keys, err := locate(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s%w", path, err)
+	}
+	if err := keys.strict(Result{}); err != nil {
+		return nil, fmt.Errorf("%s%w", path, err)
+	}
+	var r Result
+	if err := json.Unmarshal(data, &r); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			return nil, fmt.Errorf("%s:%d: %s: %s is not what stands there", path, lineAt(data, wrong.Offset), wrong.Field, wrong.Value)
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if key, err := r.check(); err != nil {
+		return nil, fmt.Errorf("%s:%d: %s: %w", path, keys.line(key), key, err)
+	}
+	if want := strings.TrimSuffix(filepath.Base(path), ".json"); r.Slope != want {
+		return nil, fmt.Errorf("%s:%d: slope: %q belongs in a file of its own name", path, keys.line("slope"), r.Slope)
+	}
+	return &r, nil
+}
+
+// check tells the first key that makes no sense, and why.
+func (r *Result) check() (key string, err error) {
+	for key, text := range map[string]string{"variable": r.Variable, "revision": r.Revision, "go": r.Go} {
+		if text == "" {
+			return key, errors.New("is empty")
+		}
+	}
+	if r.Cores < 1 {
+		return "cores", fmt.Errorf("%d is no machine's", r.Cores)
+	}
+	if r.LoadBegin < 0 || r.LoadEnd < 0 {
+		return "load_begin", errors.New("a load is not below 0")
+	}
+	if err := checkSizes(r.Sizes); err != nil {
+		return "sizes", err
+	}
+	if err := checkSeeds(r.Seeds); err != nil {
+		return "seeds", err
+	}
+	if len(r.Figures) == 0 {
+		return "figures", errors.New("none was measured")
+	}
+	for i, g := range r.Figures {
+		at := func(key string) string { return fmt.Sprintf("figures[%d].%s", i, key) }
+		if g.Name == "" || slices.ContainsFunc(r.Figures[:i], func(b Grown) bool { return b.Name == g.Name }) {
+			return at("name"), fmt.Errorf("%q is empty or stands twice", g.Name)
+		}
+		if err := checkUnit(g.Name, g.Unit); err != nil {
+			return at("unit"), err
+		}
+		if len(g.Samples) != len(r.Sizes) {
+			return at("samples"), fmt.Errorf("%d sizes have samples, and %d were measured", len(g.Samples), len(r.Sizes))
+		}
+		for j, s := range g.Samples {
+			if len(s) != len(r.Seeds) {
+				return at("samples"), fmt.Errorf("size %d has %d samples of %d seeds", r.Sizes[j], len(s), len(r.Seeds))
+			}
+		}
+		want := g
+		want.assess(r.Sizes)
+		for _, c := range []struct {
+			key       string
+			has, want any
+		}{
+			{"fit.law", g.Fit.Law, want.Fit.Law}, {"fit.a", g.Fit.A, want.Fit.A}, {"fit.b", g.Fit.B, want.Fit.B},
+			{"prediction.law", g.Prediction.Law, want.Prediction.Law},
+			{"prediction.predicted", g.Prediction.Predicted, want.Prediction.Predicted},
+			{"prediction.measured", g.Prediction.Measured, want.Prediction.Measured},
+			{"prediction.error", g.Prediction.Error, want.Prediction.Error}, {"used", g.Used, want.Used},
+		} {
+			if !same(c.has, c.want) {
+				return at(c.key), fmt.Errorf("the samples give %v, not %v", c.want, c.has)
+			}
+		}
+	}
+	return "", nil
+}
+
+// same compares, with room for the last digits, in which processors differ.
+func same(a, b any) bool {
+	x, ok := a.(float64)
+	if !ok {
+		return a == b
+	}
+	y := b.(float64)
+	return math.Abs(x-y) <= 1e-6*max(math.Abs(x), math.Abs(y), 1e-9)
+}
+
+// checkSizes tells whether a law can be fitted to the sizes, and proved.
+func checkSizes(sizes []int) error {
+	if len(sizes) < fewestSizes {
+		return fmt.Errorf("%d sizes are too few, a law needs %d", len(sizes), fewestSizes)
+	}
+	for i, n := range sizes {
+		if n < 1 || i > 0 && n <= sizes[i-1] {
+			return fmt.Errorf("%d is not a size above the one before", n)
+		}
+	}
+	return nil
+}
+
+// checkSeeds tells whether there are any, each once.
+func checkSeeds(seeds []uint64) error {
+	if len(seeds) == 0 {
+		return errors.New("none is named")
+	}
+	if len(slices.Compact(slices.Sorted(slices.Values(seeds)))) != len(seeds) {
+		return fmt.Errorf("%d has one twice", seeds)
+	}
+	return nil
+}
--- a/internal/wal/segments.go
+++ b/internal/wal/segments.go
@@ -75,7 +75,7 @@
 		if err != nil {
 			return found, err
 		}
-		if c.Name != "" && l.Name != "" && c.Name != l.Name && !l.Adopt {
+		if c.Name != "" && l.Name != "" && c.Name != l.Name && c.Name != l.Also && !l.Adopt {
 			return found, fmt.Errorf("%w: of %q, and this is %q", ErrOther, c.Name, l.Name)
 		}
 		l.state, s.gen = c.state, c.last
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -36,7 +36,9 @@
 	Customer int
 	Dest     int
 	Deadline time.Time
-	Body     []byte `json:"-"`
+	// Rank orders what a destination is owed where a backlog is kept, in unix nanoseconds: least first. 0: without one.
+	Rank int64  `json:",omitempty"`
+	Body []byte `json:"-"`
 
 	Attempts int       // sends so far
 	MayRun   []Attempt // those of them that have no outcome or one that does not prove that they never ran
@@ -136,8 +138,9 @@
 	Dir   string
 	Limit int64   // bytes on disk
 	FS    disk.FS // the folder's files; none: the operating system's
-	Name  string  // the relay's; a folder in segments of another one is refused. Empty: any
-	Adopt bool    // unless this is set
+	Name  string  // the relay's; a folder in segments of another one is refused, unless Also is its name. Empty: any
+	Also  string  // another name under which the folder is this relay's
+	Adopt bool    // or this is set
 	// Format is 1, one file, or 2, segments; none: 1.
 	Format int
 	// Power has writes synced, and Durable tell how far. It needs segments.
@@ -272,6 +275,32 @@
 	return nil
 }
 
+// Rename has the folder bear another name from the next start on. It comes right before Close, and needs segments.
+func (l *Log) Rename(name string) error {
+	if s, ok := l.keep.(*segments); ok {
+		s.Name = name
+	}
+	return l.compact()
+}
+
+// Marshal is a message that has no attempts, for what keeps it beside the log. Unmarshal reads it.
+func Marshal(m *Message) []byte {
+	return payload(record{Kind: recAccept, ID: m.ID, Message: m}, m.Body)
+}
+
+// Unmarshal reads what Marshal has written.
+func Unmarshal(data []byte) (*Message, error) {
+	rec, body, ok := parsePayload(data)
+	if !ok || rec.Kind != recAccept || rec.Message == nil {
+		return nil, errors.New("wal: no message")
+	}
+	rec.Message.ID, rec.Message.Body = rec.ID, slices.Clone(body)
+	return rec.Message, nil
+}
+
+// Fill is the part of the room for new work that is taken.
+func (l *Log) Fill() float64 { return float64(l.bytes) / max(1, float64(l.share(liveShare))) }
+
 // Owes tells whether m has no end yet.
 func (l *Log) Owes(m *Message) bool { return l.live[m.ID] != nil }
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -158,6 +158,10 @@
 	Watch                       // subscribe to list changes
 )
 
+// Unsent is how a message ends whose time is up before any send of it, where it waited outside a Sender: it has not run, so
+// that its client may come again.
+const Unsent = Refuse
+
 // Action is one thing that a Sender decides.
 type Action struct {
 	Kind  ActionKind
