--- a/internal/backlog/open.go
+++ b/internal/backlog/open.go
@@ -11,11 +11,11 @@
 	"strconv"
 	"strings"
 	"syscall"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/pebble/v2"
 
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/disk"
 )
 
@@ -62,7 +62,7 @@
 // damage: what can't be read is set aside and told.
 func Open(o Options) (s *Store, found Found, err error) {
 	o.defaults()
-	s = &Store{o: o, log: o.Log, now: time.Now, usage: &usage{limit: o.Limit, sizes: map[string]int64{}}}
+	s = &Store{o: o, log: o.Log, now: clock.Now, usage: &usage{limit: o.Limit, sizes: map[string]int64{}}}
 	defer func() {
 		if err != nil {
 			s.release()
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/duty"
 	"onyxroad.dev/onyxroad/internal/wal"
 )
@@ -92,16 +93,16 @@
 	table := newClients(r.log, adminMost, r.admin)
 	table.ending = true
 	go table.run(l)
-	return func() { l.Close(); table.close(time.Now()) }
+	return func() { l.Close(); table.close(clock.Now()) }
 }
 
 // publish brings the gauges up to date.
 func (r *Relay) publish() {
 	r.figures.current.Store(int64(r.held + r.owed.owing()))
 	r.figures.size.Store(int64(len(r.routes)))
-	if now := time.Now(); !now.Before(r.countAt) {
+	if now := clock.Now(); !now.Before(r.countAt) {
 		r.figures.unhealthy.Store(int64(r.sender.Avoided(r.now())))
-		if took := time.Since(now); took > countMost {
+		if took := clock.Since(now); took > countMost {
 			r.countAt = now.Add(countShare * took)
 		}
 	}
--- a/internal/relay/backlog.go
+++ b/internal/relay/backlog.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/backlog/owed"
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/disk"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
@@ -179,7 +180,7 @@
 			longest = max(longest, r.cfg.longest(i))
 		}
 	}
-	return time.Now().Add(longest).UnixNano()
+	return clock.Now().Add(longest).UnixNano()
 }
 
 // ref names a message on disk. Times there go by the clock as it was before it was set back, if it was.
@@ -203,7 +204,7 @@
 	case o.ending[ref.ID].ID != 0:
 		return finalAnswer(outOfTime), true
 	}
-	o.shared[ref.ID] = time.Now()
+	o.shared[ref.ID] = clock.Now()
 	return answer{status: http.StatusAccepted}, true
 }
 
@@ -368,8 +369,8 @@
 		return nil
 	}
 	var err error
-	for end := time.Now().Add(retakeFor); ; time.Sleep(lockPause) {
-		if o.store, _, err = o.Open(); err == nil || time.Now().After(end) {
+	for end := clock.Now().Add(retakeFor); ; time.Sleep(lockPause) {
+		if o.store, _, err = o.Open(); err == nil || clock.Now().After(end) {
 			return err
 		}
 	}
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -43,7 +44,7 @@
 			r.wal.Decide(m.Message, final)
 			ended = append(ended, m)
 		case policy.Wake:
-			r.wakeAt = time.Now().Add(a.Delay) // the module keeps one wake in mind, the last that it asked for
+			r.wakeAt = clock.Now().Add(a.Delay) // the module keeps one wake in mind, the last that it asked for
 		case policy.CloseIdle:
 			r.hosts.closeIdle(a.Route)
 		}
@@ -73,7 +74,7 @@
 		}
 	}
 	if c == nil {
-		c = &call{number: a.Call, route: a.Route, addr: t.addr, zone: t.Zone, sent: time.Now()}
+		c = &call{number: a.Call, route: a.Route, addr: t.addr, zone: t.Zone, sent: clock.Now()}
 		calls = append(calls, c)
 	}
 	until := r.started.Add(a.At)
@@ -120,7 +121,7 @@
 	r.flying[c] = struct{}{}
 	for _, a := range c.attempts {
 		if a.until.Before(c.until) {
-			a.timer = time.AfterFunc(time.Until(a.until), func() { r.post(cutOff{a}) })
+			a.timer = time.AfterFunc(clock.Until(a.until), func() { r.post(cutOff{a}) })
 		}
 	}
 	r.calls.Add(1)
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -125,7 +126,7 @@
 		return false
 	}
 	s.conns[c] = struct{}{}
-	c.since = time.Now()
+	c.since = clock.Now()
 	c.SetReadDeadline(c.since.Add(requestFor))
 	return true
 }
@@ -134,7 +135,7 @@
 func (s *clients) makeRoom(forced bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := clock.Now()
 	if c := s.leastNeeded(now); forced && c != nil {
 		s.dismiss(c)
 	}
@@ -209,7 +210,7 @@
 		return false
 	}
 	was, from := c.phase, c.since
-	c.phase, c.since = p, time.Now()
+	c.phase, c.since = p, clock.Now()
 	switch p {
 	case reading:
 		if was != silent { // the time of a first request runs from the connecting
@@ -263,9 +264,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
-	defer time.AfterFunc(time.Until(by), func() { s.mu.Lock(); s.room.Broadcast(); s.mu.Unlock() }).Stop()
+	defer time.AfterFunc(clock.Until(by), func() { s.mu.Lock(); s.room.Broadcast(); s.mu.Unlock() }).Stop()
 	for len(s.conns) > 0 {
-		late := !time.Now().Before(by)
+		late := !clock.Now().Before(by)
 		for c := range s.conns {
 			if late {
 				s.drop(c)
@@ -391,7 +392,7 @@
 	if err := res.Write(&text); err != nil {
 		return last, err
 	}
-	c.SetWriteDeadline(time.Now().Add(writeFor))
+	c.SetWriteDeadline(clock.Now().Add(writeFor))
 	_, err := c.Write(text.Bytes())
 	return last, err
 }
@@ -412,7 +413,7 @@
 
 // handInFrom takes one message. Whatever is malformed ends here and never reaches the decision module.
 func (r *Relay) handInFrom(c *client, req *http.Request) answer {
-	came := time.Now()
+	came := clock.Now()
 	m, left, err := r.parse(req)
 	if err != nil {
 		return bad("%v", err)
--- a/internal/relay/durable.go
+++ b/internal/relay/durable.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -37,7 +38,7 @@
 
 // promise carries out what a step owes, or keeps it until its write is durable.
 func (r *Relay) promise(p promise) {
-	p.since, p.seq = time.Now(), r.wal.Written()
+	p.since, p.seq = clock.Now(), r.wal.Written()
 	if p.unwritten {
 		p.seq++ // what the new file begins with
 	}
@@ -66,7 +67,7 @@
 	for _, m := range p.ended {
 		r.notify(m)
 	}
-	held := p.unwritten || time.Since(p.since) > heldMost
+	held := p.unwritten || clock.Since(p.since) > heldMost
 	var calls []*call
 	for _, c := range p.calls {
 		if held && !r.mayLeave(c) {
@@ -97,7 +98,7 @@
 		}
 		ids = append(ids, a.m.ID)
 	}
-	return !r.noSends && time.Now().Before(c.until) && r.sender.MayStill(c.route, r.now(), ids...)
+	return !r.noSends && clock.Now().Before(c.until) && r.sender.MayStill(c.route, r.now(), ids...)
 }
 
 // tend has the log go on after the disk has failed it, and ends the waits of those who have waited too long.
@@ -111,7 +112,7 @@
 		}
 	}
 	r.redeem()
-	now := time.Now()
+	now := clock.Now()
 	for i := range r.promises {
 		p := &r.promises[i]
 		if now.Sub(p.since) < answerMost {
@@ -174,8 +175,8 @@
 
 // settle waits until nothing waits for the disk; false if that takes too long.
 func (r *Relay) settle(most time.Duration) bool {
-	for end := time.Now().Add(most); len(r.promises) > 0; time.Sleep(time.Millisecond) {
-		if r.tend(); time.Now().After(end) {
+	for end := clock.Now().Add(most); len(r.promises) > 0; time.Sleep(time.Millisecond) {
+		if r.tend(); clock.Now().After(end) {
 			return false
 		}
 	}
@@ -221,7 +222,7 @@
 // resumeAt sets messages that were found right where the clock stands before what the log has seen: how long they have been
 // out is not known, so that no time is left that may have passed.
 func (r *Relay) resumeAt(found wal.Recovery, latest time.Time) {
-	r.behind = max(0, latest.Sub(time.Now()))
+	r.behind = max(0, latest.Sub(clock.Now()))
 	if r.behind == 0 {
 		return
 	}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -128,7 +129,7 @@
 func (l *link) send(v any) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.SetWriteDeadline(time.Now().Add(linkWriteBy))
+	l.SetWriteDeadline(clock.Now().Add(linkWriteBy))
 	return l.enc.Encode(v)
 }
 
@@ -168,7 +169,7 @@
 		l.Close()
 		return
 	}
-	began := time.Now()
+	began := clock.Now()
 	r.byHand.mu.Lock() // no call is lost between the two
 	defer r.byHand.mu.Unlock()
 	err := r.wal.Flush()
@@ -183,8 +184,8 @@
 	}
 	if err != nil {
 		l.Close()
-		for end := time.Now().Add(retakeFor); r.lock == nil; time.Sleep(lockPause) {
-			if r.lock, err = wal.Lock(r.cfg.StateDir); err != nil && time.Now().After(end) {
+		for end := clock.Now().Add(retakeFor); r.lock == nil; time.Sleep(lockPause) {
+			if r.lock, err = wal.Lock(r.cfg.StateDir); err != nil && clock.Now().After(end) {
 				// Another has the log and does not answer: what it owes is there. Writing to it would spoil it.
 				panic(fmt.Sprintf("relay: the log is lost to another process: %v", err))
 			}
@@ -202,12 +203,12 @@
 	r.byHand.mine, r.byHand.heir = false, l
 	go r.answers(l)
 	close(r.handed)
-	r.log.Info("handed over", "calls", r.out, "took", time.Since(began))
+	r.log.Info("handed over", "calls", r.out, "took", clock.Since(began))
 }
 
 // offer passes on the listener, what this process knows, and the lock, and waits until the other has it.
 func (r *Relay) offer(l *link) error {
-	l.SetDeadline(time.Now().Add(linkFor))
+	l.SetDeadline(clock.Now().Add(linkFor))
 	raw, err := r.listener.SyscallConn()
 	if err != nil {
 		return err
@@ -223,7 +224,7 @@
 	if err := l.send(r.estate()); err != nil {
 		return err
 	}
-	l.SetReadDeadline(time.Now().Add(linkFor))
+	l.SetReadDeadline(clock.Now().Add(linkFor))
 	var f frame
 	if err := l.dec.Decode(&f); err != nil {
 		return err
@@ -271,7 +272,7 @@
 			}
 		case cutOff:
 			if !e.a.over {
-				r.tellEnd(e.a, result{outcome: policy.Timeout, took: time.Since(e.a.sent)}, true)
+				r.tellEnd(e.a, result{outcome: policy.Timeout, took: clock.Since(e.a.sent)}, true)
 			}
 		case clearance:
 			e.reply <- false // it goes back, and the new process decides anew
@@ -368,13 +369,13 @@
 	case <-ctx.Done():
 	case <-time.After(asideMost):
 	}
-	began := time.Now()
+	began := clock.Now()
 	time.Sleep(acceptFor)
 	r.clients.close(began.Add(answerFor))
 	r.post(stopping{})
 	select {
 	case <-r.idle:
-	case <-time.After(time.Until(began.Add(endBy))):
+	case <-time.After(clock.Until(began.Add(endBy))):
 	}
 }
 
@@ -422,7 +423,7 @@
 	}
 	l.SetDeadline(time.Time{})
 	r.parent, r.lastID = l, max(r.lastID, from.LastID)
-	r.started = time.Now().Add(-time.Since(from.Began))
+	r.started = clock.Now().Add(-clock.Since(from.Began))
 	r.cfg.Known = List{}
 	for _, m := range from.Members {
 		entry, err := json.Marshal(m)
@@ -454,7 +455,7 @@
 			}
 		}
 	}()
-	c.SetDeadline(time.Now().Add(linkFor))
+	c.SetDeadline(clock.Now().Add(linkFor))
 	mark, oob := make([]byte, 1), make([]byte, syscall.CmsgSpace(4))
 	_, n, _, _, err := c.ReadMsgUnix(mark, oob)
 	if err != nil {
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -16,6 +16,7 @@
 	"strings"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/policy"
 )
 
@@ -108,7 +109,7 @@
 func (h *hosts) exchange(ctx context.Context, req *http.Request, c *call, conn *hostConn) []result {
 	// A call is given up by closing its connection: no answer to it is read any more.
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
-	began := time.Now()
+	began := clock.Now()
 	err := writeRequest(conn, req)
 	written := err == nil
 	if written && h.sent != nil {
@@ -123,7 +124,7 @@
 		conn.drop()
 	}
 	if a.came.IsZero() {
-		a.came = time.Now()
+		a.came = clock.Now()
 	}
 	r := h.told(a.head)
 	r.took = a.came.Sub(began)
@@ -166,14 +167,14 @@
 	_, a.err = conn.r.Peek(1)
 	if errors.Is(a.err, os.ErrDeadlineExceeded) {
 		// Past a deadline nothing is read, not even what is there: a wait that it tells binds all the same.
-		conn.SetReadDeadline(time.Now().Add(lastLook))
+		conn.SetReadDeadline(clock.Now().Add(lastLook))
 		_, a.err = conn.r.Peek(1)
 	}
 	if a.err != nil {
 		return a
 	}
 	// Where the call ended this very moment, this takes the place of its deadline, and it ends so much later.
-	a.came = time.Now()
+	a.came = clock.Now()
 	conn.SetReadDeadline(a.came.Add(wholeFor))
 	for range informMost {
 		var line []byte
@@ -255,7 +256,7 @@
 // newRequest makes the request of a call.
 func newRequest(c *call) (*http.Request, error) {
 	path, body := "/events", c.attempts[0].m.Body
-	header := http.Header{"X-Expires-In-Ms": {strconv.FormatInt(max(1, time.Until(c.until).Milliseconds()), 10)}}
+	header := http.Header{"X-Expires-In-Ms": {strconv.FormatInt(max(1, clock.Until(c.until).Milliseconds()), 10)}}
 	if len(c.attempts) > 1 {
 		path, body = "/events/bundle", bundle(c)
 		header.Set("Content-Type", "application/json")
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/backlog/owed"
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -66,7 +67,7 @@
 	if o == nil {
 		return
 	}
-	now := time.Now()
+	now := clock.Now()
 	for id, at := range o.shared {
 		if now.Sub(at) > sharedFor {
 			delete(o.shared, id)
@@ -195,7 +196,7 @@
 func (o *overflow) state(j *job) {
 	log := o.relay.log
 	if j.err != nil {
-		if o.tried = time.Now(); !o.worn {
+		if o.tried = clock.Now(); !o.worn {
 			log.Error("the backlog's disk fails: nothing new goes there", "err", j.err)
 		}
 		o.worn = true
@@ -206,7 +207,7 @@
 	}
 	o.worn = false
 	if j.full {
-		if o.tried = time.Now(); !o.full {
+		if o.tried = clock.Now(); !o.full {
 			log.Warn("the backlog is full: new messages beyond the window are refused", "messages", o.disk, "bytes", j.bytes)
 		}
 		o.full = true
@@ -271,7 +272,7 @@
 		if !r.full {
 			r.log.Warn("the backlog waits for the log", "err", err)
 		}
-		o.hold = time.Now().Add(storeRetry)
+		o.hold = clock.Now().Add(storeRetry)
 		return
 	}
 	for _, m := range ms {
--- a/internal/relay/memories.go
+++ b/internal/relay/memories.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/policy"
 )
 
@@ -33,10 +34,10 @@
 
 // putDown writes what is known. The loop calls it; writing is done beside it, one at a time.
 func (r *Relay) putDown() {
-	if r.cfg.MemoriesEvery <= 0 || time.Since(r.putAt) < r.cfg.MemoriesEvery || !r.putting.CompareAndSwap(false, true) {
+	if r.cfg.MemoriesEvery <= 0 || clock.Since(r.putAt) < r.cfg.MemoriesEvery || !r.putting.CompareAndSwap(false, true) {
 		return
 	}
-	r.putAt = time.Now()
+	r.putAt = clock.Now()
 	data, err := r.memoriesNow()
 	if err != nil {
 		r.putting.Store(false)
@@ -49,7 +50,7 @@
 }
 
 func (r *Relay) memoriesNow() ([]byte, error) {
-	text, err := json.Marshal(memories{time.Now(), r.now(), r.sender.Memories()})
+	text, err := json.Marshal(memories{clock.Now(), r.now(), r.sender.Memories()})
 	if err != nil {
 		return nil, fmt.Errorf("relay: memories: %w", err)
 	}
@@ -107,7 +108,7 @@
 	if len(m.Memories) == 0 {
 		return
 	}
-	age := time.Since(m.Saved)
+	age := clock.Since(m.Saved)
 	r.sender.Recall(m.Memories, m.Clock, age)
 	r.log.Info("recalled partners", "routes", len(m.Memories), "age", age)
 	r.recalled = memories{}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"onyxroad.dev/onyxroad/internal/clock"
 )
 
 // roomPause is how long a call waits before it looks for a free connection or descriptor again.
@@ -59,7 +61,7 @@
 // get returns an idle connection to a host, else a new one; fresh tells which.
 func (p *pool) get(ctx context.Context, to peer) (c *hostConn, fresh bool, err error) {
 	for c := p.takeIdle(to); c != nil; c = p.takeIdle(to) {
-		if _, quiet := c.unwatch(); quiet && time.Since(c.since) < p.idleFor {
+		if _, quiet := c.unwatch(); quiet && clock.Since(c.since) < p.idleFor {
 			return c, false, nil
 		}
 		c.drop() // closed by the host, or something came that no call had asked for
@@ -134,7 +136,7 @@
 		p.drop(c)
 		return
 	}
-	c.since = time.Now()
+	c.since = clock.Now()
 	dropIdle := func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/membership"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
@@ -172,7 +173,7 @@
 	r := &Relay{
 		cfg: cfg, log: log, hosts: newHosts(cfg), agent: newAgent(cfg.Discovery),
 		events: make(chan any, eventRoom), over: make(chan struct{}), idle: make(chan struct{}),
-		started: time.Now().Add(-clockStart), sender: sender, handed: make(chan struct{}),
+		started: clock.Now().Add(-clockStart), sender: sender, handed: make(chan struct{}),
 		byHand: newExclusions(log, cfg.StateDir), barred: map[string]bool{},
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
 		cells: map[int]bool{}, figures: newFigures(cfg.Classes), endAdmin: func() {},
@@ -233,7 +234,7 @@
 	go r.finals.run(talk)
 	list := watcher{
 		log: r.log, agent: r.agent, silence: watchSilence, version: r.cfg.Known.Version,
-		fleet: r.cfg.Settings.Senders, random: rand.Float64, sleep: sleep, now: time.Now,
+		fleet: r.cfg.Settings.Senders, random: rand.Float64, sleep: sleep, now: clock.Now,
 		// A list that the process before handed over has to be followed at once: together the two know no less.
 		held: len(r.cfg.Known.Entries) > 0 && r.parent == nil,
 		told: func(l List) { r.post(l) },
@@ -285,8 +286,8 @@
 // shutDown is the planned end. Connections that are idle close at once, and a request that crosses that comes
 // once more on a new connection, which is still taken; what was read is answered, and running calls may finish.
 func (r *Relay) shutDown(listener net.Listener) {
-	began := time.Now()
-	by := func(d time.Duration) <-chan time.Time { return time.After(time.Until(began.Add(d))) }
+	began := clock.Now()
+	by := func(d time.Duration) <-chan time.Time { return time.After(clock.Until(began.Add(d))) }
 	r.ending.Store(true)
 	r.fleet.become(membership.Draining)
 	left := make(chan struct{})
@@ -324,7 +325,7 @@
 	}
 }
 
-func (r *Relay) now() time.Duration { return time.Since(r.started) }
+func (r *Relay) now() time.Duration { return clock.Since(r.started) }
 
 // resume hands the module the known list and what an earlier process left, in one step.
 func (r *Relay) resume() {
@@ -406,7 +407,7 @@
 	if len(ran) > 0 {
 		first := ran[0]
 		e.Resumed.Ran, e.Resumed.RanZone = true, first.Zone
-		e.Resumed.RanAgo = max(0, time.Since(first.At))
+		e.Resumed.RanAgo = max(0, clock.Since(first.At))
 	}
 	if m.Doubt || len(ran) > 0 && r.behind > 0 {
 		e.Resumed.Ran, e.Resumed.RanAgo = true, unknownAgo // when is not known: no window holds
@@ -417,7 +418,7 @@
 func (r *Relay) taken(m *message) policy.Event {
 	return policy.Event{
 		Kind: policy.Taken, ID: m.ID, Key: m.Order, Class: m.Class, Customer: m.Customer, Destination: m.Dest,
-		Left: time.Until(m.Deadline),
+		Left: clock.Until(m.Deadline),
 	}
 }
 
@@ -454,7 +455,7 @@
 			}
 			continue
 		}
-		if rest := r.cfg.Tick - time.Since(last); rest > 0 {
+		if rest := r.cfg.Tick - clock.Since(last); rest > 0 {
 			time.Sleep(rest)
 		}
 	more:
@@ -466,7 +467,7 @@
 				break more
 			}
 		}
-		last = time.Now()
+		last = clock.Now()
 		r.step(batch)
 		clear(batch)
 		if kept := r.kept; len(kept) > 0 {
@@ -474,7 +475,7 @@
 			r.step(kept)
 		}
 		if !r.wakeAt.IsZero() {
-			timer.Reset(time.Until(r.wakeAt))
+			timer.Reset(clock.Until(r.wakeAt))
 		}
 	}
 }
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -14,7 +15,7 @@
 // step takes a batch of events to the module and carries out what it decides.
 func (r *Relay) step(batch []any) {
 	now := r.now()
-	if !r.wakeAt.IsZero() && !time.Now().Before(r.wakeAt) {
+	if !r.wakeAt.IsZero() && !clock.Now().Before(r.wakeAt) {
 		r.wakeAt = time.Time{}
 	}
 	evs := append([]policy.Event(nil), r.later...)
@@ -35,7 +36,7 @@
 		case *callEnd:
 			evs = r.callEnded(evs, e)
 		case cutOff:
-			evs = r.attemptEnded(evs, e.a, result{outcome: policy.Timeout, took: time.Since(e.a.sent)})
+			evs = r.attemptEnded(evs, e.a, result{outcome: policy.Timeout, took: clock.Since(e.a.sent)})
 		case List:
 			evs = append(evs, r.list(e))
 		case clearance:
@@ -279,7 +280,7 @@
 // forget drops messages that were withdrawn once their time is up, once it is certain that they never ran, or once
 // they go on as others, which know all that these did.
 func (r *Relay) forget() {
-	now := time.Now()
+	now := clock.Now()
 	r.left = slices.DeleteFunc(r.left, func(m *message) bool {
 		if m.next == nil && len(m.MayRun) > 0 && now.Before(m.Deadline) {
 			return false
--- a/internal/wal/segments.go
+++ b/internal/wal/segments.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/disk"
 )
 
@@ -224,7 +225,7 @@
 func (s *segments) snapshot(gen uint64, live [][]byte) error {
 	salt := gen | snapSalt
 	add := func(buf []byte, p []byte) []byte { return appendFrame(buf, salt, int64(len(buf)), 0, p) }
-	buf := add(nil, payload(record{Kind: recHead, Head: &head{Format: Format, Name: s.Name, Gen: gen, Began: time.Now()}}, nil))
+	buf := add(nil, payload(record{Kind: recHead, Head: &head{Format: Format, Name: s.Name, Gen: gen, Began: clock.Now()}}, nil))
 	for _, p := range live {
 		buf = add(buf, p)
 	}
@@ -286,7 +287,7 @@
 	if err != nil {
 		return fmt.Errorf("wal: segment: %w", err)
 	}
-	h := head{Format: Format, Name: s.Name, Gen: gen, Began: time.Now()}
+	h := head{Format: Format, Name: s.Name, Gen: gen, Began: clock.Now()}
 	if prev != nil {
 		h.Prev, h.Good, h.Kept = prev.Prev, prev.Good, prev.Kept
 	}
@@ -343,7 +344,7 @@
 	if worn {
 		return ErrWorn
 	}
-	if !since.IsZero() && time.Since(since) > stall {
+	if !since.IsZero() && clock.Since(since) > stall {
 		return ErrSlow
 	}
 	ahead := min(reserveMost, s.Limit/16)
@@ -388,7 +389,7 @@
 		return nil
 	}
 	if s.since.IsZero() {
-		s.since = time.Now()
+		s.since = clock.Now()
 	}
 	if i := len(s.dirty) - 1; i >= 0 && s.dirty[i].file == s.file {
 		s.dirty[i].size = s.used
@@ -416,7 +417,7 @@
 		return nil
 	}
 	s.mu.Lock()
-	busy := s.renewing || time.Since(s.tried) < renewAfter // one that fails must not leave segment after segment
+	busy := s.renewing || clock.Since(s.tried) < renewAfter // one that fails must not leave segment after segment
 	prev := head{Prev: s.gen, Good: s.used, Kept: s.kept}
 	s.mu.Unlock()
 	if busy {
--- a/internal/wal/sync.go
+++ b/internal/wal/sync.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"onyxroad.dev/onyxroad/internal/clock"
 )
 
 // What goes on beside the log's owner: syncs and snapshots, and how the log goes on after one has failed.
@@ -19,7 +21,7 @@
 		s.mu.Lock()
 		s.renewing = false
 		if err != nil {
-			s.tried = time.Now()
+			s.tried = clock.Now()
 		} else if anew {
 			s.renewed = gen
 		}
@@ -54,10 +56,10 @@
 		s.written++ // a snapshot is a write as well
 		s.durable = s.written
 		return true
-	case time.Since(tried) >= renewAfter:
+	case clock.Since(tried) >= renewAfter:
 		gen := s.gen + 1
 		if !s.Power {
-			s.tried = time.Now()
+			s.tried = clock.Now()
 			if s.snapshot(gen, live()) == nil && s.begin(gen, nil) == nil {
 				s.failed = nil
 				s.written++
@@ -82,7 +84,7 @@
 		if len(s.dirty) == 0 || s.failed != nil {
 			return
 		}
-		todo, target, began, names := slices.Clone(s.dirty), s.written, time.Now(), s.names
+		todo, target, began, names := slices.Clone(s.dirty), s.written, clock.Now(), s.names
 		s.names = false
 		s.mu.Unlock()
 		var err error
