Add failing tests: a stepped wall clock moves deadlines over a restart and a hand-over

Cause: found by stepping the wall clock by -1 h, -5 s, +5 s and +1 h between processes and while one runs.

--- a/internal/clock/clock_testbed.go
+++ b/internal/clock/clock_testbed.go
@@ -9,7 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"onyxroad.dev/onyxroad/internal/clock/wallstep"
+	"onyxroad.dev/onyxroad/internal/clock/wallshift"
 )
 
 // StepEnv names a file that holds by how many whole seconds the wall clock is off. The testbed rewrites it to have the wall
@@ -40,6 +40,6 @@
 				}
 			}
 		}
-		return wallstep.Shift(now, seconds.Load())
+		return wallshift.Shift(now, seconds.Load())
 	}
 }
--- a/internal/clock/wallstep/wallstep_test.go
+++ b/internal/clock/wallshift/wallshift_test.go
@@ -1,4 +1,4 @@
-package wallstep
+package wallshift
 
 import (
 	"testing"
--- a/internal/clock/wallstep/wallstep.go
+++ b/internal/clock/wallstep/wallstep.go
@@ -1,18 +1,21 @@
-// Package wallstep emulates a step of the machine's wall clock: readings of the time whose wall clock is off, while their
-// monotonic clock runs on. No program that serves links it.
+// Package wallstep has the wall clock step under a test, while the monotonic clock runs on.
 package wallstep
 
 import (
+	"sync/atomic"
 	"time"
-	"unsafe"
+
+	"onyxroad.dev/onyxroad/internal/clock"
+	"onyxroad.dev/onyxroad/internal/clock/wallshift"
 )
 
-// secondUnit is a second in the first word of a time.Time that has a monotonic reading: below it are 30 bits of nanoseconds.
-const secondUnit = 1 << 30
+// Clock is the system's clock with a wall clock that a test can step.
+type Clock struct{ seconds atomic.Int64 }
 
-// Shift is t, which has a monotonic reading, with its wall clock off by whole seconds. Every other way to add to a time moves
-// both of its readings.
-func Shift(t time.Time, seconds int64) time.Time {
-	*(*uint64)(unsafe.Pointer(&t)) += uint64(seconds * secondUnit)
-	return t
+// Use has package clock read c until restore is called.
+func (c *Clock) Use() (restore func()) {
+	return clock.SetSource(func() time.Time { return wallshift.Shift(time.Now(), c.seconds.Load()) })
 }
+
+// Step moves the wall clock by whole seconds.
+func (c *Clock) Step(seconds int64) { c.seconds.Add(seconds) }
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -1,9 +1,13 @@
 package relay
 
 import (
+	"context"
+	"net"
 	"testing"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/clock"
+	"onyxroad.dev/onyxroad/internal/clock/wallstep"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -30,3 +34,54 @@
 		t.Error("the one call, which is out, is taken to have run")
 	}
 }
+
+// The two processes of a hand-over have one clock for their decisions, and a message its time, whatever the wall clock does
+// between them.
+func TestAHandOverOutlastsAStepOfTheWallClock(t *testing.T) {
+	for _, seconds := range []int64{-3600, -5, 5, 3600} {
+		var wall wallstep.Clock
+		restore := wall.Use()
+		old, again := handedOver(t, func(old *Relay) {
+			old.started = old.started.Add(-time.Minute) // it has served for a while
+			wall.Step(seconds)
+		})
+		if ahead := again.now() - old.now(); ahead.Abs() > time.Second {
+			t.Errorf("step of %d s: the new process decides by a clock that is off by %v", seconds, ahead)
+		}
+		m := &wal.Message{Trace: "passed-on", Class: 0, Dest: 7, Key: "k", Deadline: clock.Now().Add(5 * time.Second)}
+		wall.Step(seconds)
+		in := &handIn{m: m, reply: make(chan answer, 1)}
+		old.post(in)
+		settle(t, again, "the message that was handed in at the old process", func() bool { return again.traces["passed-on"] != nil })
+		if left := clock.Until(again.traces["passed-on"].Deadline); left < 3*time.Second || left > 5*time.Second {
+			t.Errorf("step of %d s: a message that is passed on has %v left of 5 s", seconds, left)
+		}
+		restore()
+	}
+}
+
+// handedOver is a relay that serves and the process that takes its place. before is called when the first one serves.
+func handedOver(t *testing.T, before func(old *Relay)) (old, again *Relay) {
+	t.Helper()
+	old = newTestRelay(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	old.listener = listener.(*net.TCPListener)
+	before(old)
+	ctx, stop := context.WithCancel(t.Context())
+	go old.loop(ctx)
+	end := old.heirs()
+	t.Cleanup(func() { end(); stop(); <-old.over; listener.Close() })
+	if again, err = New(t.Context(), old.cfg, quiet()); err != nil {
+		t.Fatal(err)
+	}
+	if again.parent == nil {
+		t.Fatal("the new process has begun by itself")
+	}
+	again.callCtx = t.Context()
+	again.resume()
+	go again.heed(again.parent)
+	return old, again
+}
--- /dev/null
+++ b/internal/wal/times_test.go
@@ -0,0 +1,63 @@
+package wal
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/clock"
+	"onyxroad.dev/onyxroad/internal/clock/wallstep"
+)
+
+// steps are of the wall clock, in seconds.
+var steps = []int64{-3600, -5, 5, 3600}
+
+// Whatever the wall clock does while the log runs, or between two processes, a message has the time that it had, and a send
+// is as old as it is.
+func TestTimesOutlastAStepOfTheWallClock(t *testing.T) {
+	const left, age, slack = 20 * time.Second, 3 * time.Second, 2 * time.Second
+	for _, format := range []int{1, Format} {
+		for _, before := range append(steps, 0) {
+			for _, between := range append(steps, 0) {
+				t.Run(fmt.Sprintf("format %d, %+d s, %+d s", format, before, between), func(t *testing.T) {
+					var wall wallstep.Clock
+					defer wall.Use()()
+					o := Options{Dir: t.TempDir(), Limit: roomy, Format: format, Name: "n3"}
+					l, _, err := OpenWith(o)
+					must(t, err)
+					first, second := message(1), message(2)
+					first.Deadline = clock.Now().Add(left)
+					must(t, l.Accept(first))
+					wall.Step(before)
+					second.Deadline = clock.Now().Add(left)
+					must(t, l.Accept(second))
+					must(t, l.Sent(Send{first, Attempt{Host: "s-1", At: clock.Now().Add(-age)}}))
+					wall.Step(between)
+					for restart := range 3 { // the last one finds what a compaction has written
+						l, found, err := OpenWith(o)
+						must(t, err)
+						if len(found.Messages) != 2 || len(found.Messages[0].MayRun) != 1 {
+							t.Fatalf("restart %d: found %+v", restart, found.Messages)
+						}
+						for _, m := range found.Messages {
+							if got := clock.Until(m.Deadline); got < left-slack || got > left {
+								t.Errorf("restart %d: message %d has %v left of %v", restart, m.ID, got, left)
+							}
+						}
+						if got := clock.Since(found.Messages[0].MayRun[0].At); got < age || got > age+slack {
+							t.Errorf("restart %d: a send of %v ago is %v old", restart, age, got)
+						}
+						if latest := found.Latest(); latest.After(clock.Now()) {
+							t.Errorf("restart %d: the newest time is %v ahead", restart, clock.Until(latest))
+						}
+						if restart == 1 {
+							must(t, l.compact())
+						}
+						must(t, l.Close())
+						wall.Step(between)
+					}
+				})
+			}
+		}
+	}
+}
