Keep the log's times and a hand-over's clock by the machine's monotonic clock

Cause: the log, the backlog, what is known of partners and a hand-over kept times by the wall clock (Message.Deadline and Attempt.At as JSON, estate.Began), so that a step of it made a message an hour older or younger, misjudged windows of repeats, and shifted the new process's clock of decisions. Change: a log's times stand on a timeline, whose anchor (boot id, monotonic clock) is a record of the single file and part of a segment's head; the next process goes on with it, and only after a boot goes by the wall clock. A hand-over tells its clock against the machine's, a message passed on its time left. No message has more time left than its class allows.

--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,7 +1,8 @@
 // Package clock is the one way by which a relay reads time.
 //
 // Within a process every span is measured between two readings of Now, which carry the monotonic clock: a step of the
-// wall clock changes none of them.
+// wall clock changes none of them. What outlasts the process is kept on a Timeline, which goes by the machine's monotonic
+// clock until the machine is booted anew, and so is not moved by such a step either.
 //
 // Tests and builds with the tag testbed put another source in the place of the system's clock, see SetSource.
 package clock
--- a/internal/relay/backlog.go
+++ b/internal/relay/backlog.go
@@ -172,7 +172,7 @@
 // comes first.
 func (r *Relay) rankOf(m *wal.Message) int64 {
 	if m.Order == "" || !r.cfg.Settings.Classes[m.Class].Ordered {
-		return m.Deadline.UnixNano()
+		return r.wal.Stamp(m.Deadline).UnixNano()
 	}
 	longest := time.Duration(0)
 	for i, c := range r.cfg.Settings.Classes {
@@ -180,12 +180,22 @@
 			longest = max(longest, r.cfg.longest(i))
 		}
 	}
-	return clock.Now().Add(longest).UnixNano()
+	return r.wal.Stamp(clock.Now().Add(longest)).UnixNano()
 }
 
-// ref names a message on disk. Times there go by the clock as it was before it was set back, if it was.
+// storedTime is a time as it stands on disk: on the log's timeline, as it was before the clock was set back over a boot, if it
+// was. restoredTime is the way back.
+func (o *overflow) storedTime(at time.Time) int64 {
+	return o.relay.wal.Stamp(at).Add(o.offset).UnixNano()
+}
+
+func (o *overflow) restoredTime(ns int64) time.Time {
+	return o.relay.wal.Local(time.Unix(0, ns).Add(-o.offset))
+}
+
+// ref names a message on disk.
 func (o *overflow) ref(m *message) owed.Ref {
-	return owed.Ref{ID: m.ID, Trace: m.Trace, Dest: m.Dest, Rank: m.rank(), Deadline: m.Deadline.Add(o.offset).UnixNano()}
+	return owed.Ref{ID: m.ID, Trace: m.Trace, Dest: m.Dest, Rank: m.rank(), Deadline: o.storedTime(m.Deadline)}
 }
 
 // known is the answer to a hand-in of a message that lies on disk already; false if none does. Its client is not the only
--- a/internal/relay/durable.go
+++ b/internal/relay/durable.go
@@ -232,8 +232,28 @@
 	}
 }
 
+// checkClock looks at what the wall clock has done since the log's times began, and bounds the time that a message can have
+// left by that of its class.
+func (r *Relay) checkClock(found wal.Recovery) {
+	if resumed, stepped := r.wal.Timeline(); resumed && stepped != 0 {
+		r.log.Warn("the wall clock has been stepped", "by", stepped)
+	} else if !resumed && len(found.Messages) > 0 {
+		r.log.Warn("how much time has passed since the last process is told by the wall clock alone")
+	}
+	now := clock.Now()
+	for _, m := range found.Messages {
+		if m.Class < 0 || m.Class >= len(r.cfg.Settings.Classes) {
+			continue
+		}
+		if most := now.Add(r.cfg.longest(m.Class)); m.Deadline.After(most) {
+			m.Deadline = most
+		}
+	}
+}
+
 // recollect reads what a process before knew of partners, and looks at the clock.
 func (r *Relay) recollect(found wal.Recovery) {
+	r.checkClock(found)
 	latest := found.Latest()
 	if r.cfg.MemoriesEvery > 0 {
 		m, err := readMemories(r.cfg.StateDir)
@@ -241,11 +261,9 @@
 			r.log.Warn("what was known of partners is lost", "err", err)
 		}
 		r.recalled = m
-		if m.Saved.After(latest) {
-			latest = m.Saved
+		if saved := r.wal.Local(m.Saved); saved.After(latest) {
+			latest = saved
 		}
 	}
-	if r.cfg.Segments {
-		r.resumeAt(found, latest)
-	}
+	r.resumeAt(found, latest)
 }
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -44,7 +44,8 @@
 
 // estate is what a process that hands over tells besides the log.
 type estate struct {
-	Began    time.Time // the zero of the module's clock
+	Began    time.Time // the zero of the module's clock, by the wall clock; for a process of before
+	Clock    clockReading
 	LastID   uint32
 	Members  []member
 	Seen     []string // ids that the list has ever named
@@ -52,6 +53,30 @@
 	Out      []outCall
 }
 
+// clockReading is what the module's clock showed when the machine's stood so. The zero reading tells nothing.
+type clockReading struct {
+	Machine clock.Machine
+	Module  time.Duration
+}
+
+// readClock reads the module's clock for another process.
+func (r *Relay) readClock() clockReading {
+	machine, ok := clock.ReadMachine()
+	if !ok {
+		return clockReading{}
+	}
+	return clockReading{machine, r.now()}
+}
+
+// startedBy is the zero of a module's clock as this process sees it.
+func (e *estate) startedBy() time.Time {
+	now := clock.Now()
+	if machine, ok := clock.ReadMachine(); ok && machine.Follows(e.Clock.Machine) {
+		return now.Add(-e.Clock.Module - (machine.Monotonic - e.Clock.Machine.Monotonic))
+	}
+	return now.Add(-now.Sub(e.Began))
+}
+
 // outCall is an attempt that is out. Cut: its message was told of a time-out, and its call goes on for others.
 type outCall struct {
 	policy.Out
@@ -73,6 +98,8 @@
 	Seq     uint32
 	Message *wal.Message `json:",omitempty"`
 	Body    []byte       `json:",omitempty"`
+	// Left is the message's time that is left; 0 from a process of before, whose deadlines go by the wall clock.
+	Left time.Duration `json:",omitempty"`
 	order
 }
 
@@ -234,7 +261,7 @@
 }
 
 func (r *Relay) estate() estate {
-	e := estate{Began: r.started, LastID: r.lastID, Seen: r.byHand.ids, Memories: r.sender.Memories()}
+	e := estate{Began: r.started, Clock: r.readClock(), LastID: r.lastID, Seen: r.byHand.ids, Memories: r.sender.Memories()}
 	for _, t := range r.routes {
 		cell, state := t.Destination, "draining"
 		if t.InService {
@@ -314,7 +341,7 @@
 	l.mu.Unlock()
 	p := passed{Seq: seq, Message: in.m, order: in.order}
 	if in.m != nil {
-		p.Body = in.m.Body
+		p.Body, p.Left = in.m.Body, clock.Until(in.m.Deadline)
 	}
 	if err := l.send(frame{Hand: &p}); err != nil {
 		l.reply(passedAnswer{Seq: seq, Status: turnedBack.status, Again: turnedBack.again})
@@ -423,7 +450,7 @@
 	}
 	l.SetDeadline(time.Time{})
 	r.parent, r.lastID = l, max(r.lastID, from.LastID)
-	r.started = clock.Now().Add(-clock.Since(from.Began))
+	r.started = from.startedBy()
 	r.cfg.Known = List{}
 	for _, m := range from.Members {
 		entry, err := json.Marshal(m)
@@ -514,6 +541,9 @@
 		case f.Hand != nil:
 			m := f.Hand.Message
 			m.Body = f.Hand.Body
+			if f.Hand.Left != 0 {
+				m.Deadline = clock.Now().Add(f.Hand.Left)
+			}
 			in := &handIn{m: m, reply: make(chan answer, 1)}
 			seq := f.Hand.Seq
 			if !r.post(in) {
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -131,7 +131,7 @@
 	if !o.relay.stopping && now.After(o.hold) && o.relay.wal.Fill() < loadFill {
 		j.loads = o.loads(batchStored)
 	}
-	if by := now.Add(o.offset + dueAhead).UnixNano(); o.next <= by && len(o.ending) < dueMost && !o.relay.noSends {
+	if by := o.storedTime(now.Add(dueAhead)); o.next <= by && len(o.ending) < dueMost && !o.relay.noSends {
 		j.due = by
 	}
 	if len(j.put)+len(j.remove)+len(j.loads) == 0 && j.due == 0 {
@@ -262,7 +262,7 @@
 			r.finals.add(newNotice(e.ID, e.Trace, wal.Final{}))
 			continue
 		}
-		m.Deadline = time.Unix(0, e.Deadline).Add(-o.offset)
+		m.Deadline = o.restoredTime(e.Deadline)
 		ms, news = append(ms, &message{Message: m, move: entering}), append(news, m)
 	}
 	if len(news) == 0 {
--- a/internal/relay/memories.go
+++ b/internal/relay/memories.go
@@ -24,7 +24,7 @@
 
 // memories is the file's content, after a checksum.
 type memories struct {
-	Saved    time.Time     // by the wall
+	Saved    time.Time     // on the log's timeline
 	Clock    time.Duration // and by the module's clock
 	Memories []policy.Memory
 }
@@ -50,7 +50,7 @@
 }
 
 func (r *Relay) memoriesNow() ([]byte, error) {
-	text, err := json.Marshal(memories{clock.Now(), r.now(), r.sender.Memories()})
+	text, err := json.Marshal(memories{r.wal.Stamp(clock.Now()), r.now(), r.sender.Memories()})
 	if err != nil {
 		return nil, fmt.Errorf("relay: memories: %w", err)
 	}
@@ -108,7 +108,7 @@
 	if len(m.Memories) == 0 {
 		return
 	}
-	age := clock.Since(m.Saved)
+	age := clock.Since(r.wal.Local(m.Saved))
 	r.sender.Recall(m.Memories, m.Clock, age)
 	r.log.Info("recalled partners", "routes", len(m.Memories), "age", age)
 	r.recalled = memories{}
--- a/internal/wal/read.go
+++ b/internal/wal/read.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/disk"
 )
 
@@ -48,6 +49,8 @@
 	Prev uint64 `json:",omitempty"`
 	Good int64  `json:",omitempty"`
 	Kept int64  `json:",omitempty"`
+	// Clock is the timeline of the times in the file, Began among them; none: the wall clock.
+	Clock *clock.Anchor `json:",omitempty"`
 }
 
 // Hole is bytes that could not be read.
@@ -84,8 +87,11 @@
 
 // state is what a folder tells of messages.
 type state struct {
-	live  map[uint32]*Message
-	bytes int64
+	live    map[uint32]*Message
+	bytes   int64
+	times   clock.Timeline
+	resumed bool // times go on with those of an earlier process
+	stamped bool // times are left as they stand in the log
 }
 
 // chain is what reading a folder in segments leaves to go on from.
@@ -120,8 +126,8 @@
 }
 
 // readChain reads a folder in segments. It changes nothing.
-func readChain(d disk.FS, names []string) (*chain, error) {
-	c := &chain{state: state{live: map[uint32]*Message{}}, Report: Report{Format: Format}}
+func readChain(d disk.FS, names []string, s state) (*chain, error) {
+	c := &chain{state: s, Report: Report{Format: Format}}
 	data := map[string][]byte{}
 	var snaps, segs []uint64
 	for _, n := range names {
@@ -146,13 +152,13 @@
 	}
 	slices.Sort(snaps)
 	slices.Sort(segs)
-	from, s := uint64(0), &snapshot{}
+	from, newest := uint64(0), &snapshot{}
 	for i := len(snaps) - 1; i >= 0 && from == 0; i-- {
 		x := &snapshot{}
 		if x.read(data, snaps[i]) {
-			from, s = snaps[i], x
+			from, newest = snaps[i], x
 		} else if i == len(snaps)-1 {
-			s = x
+			newest = x
 		}
 	}
 	if from == 0 && len(snaps) > 0 {
@@ -168,12 +174,15 @@
 	}
 	c.from = from
 	if from > 0 {
-		c.take(&s.Report)
+		c.take(&newest.Report)
 		c.Files = append(c.Files, genName(snapPrefix, from))
-		for _, f := range s.frames {
+		if newest.clock != nil {
+			c.resume(newest.clock)
+		}
+		for _, f := range newest.frames {
 			c.apply(f.rec, f.body)
 		}
-		if len(s.Holes)+len(c.Missing) > 0 {
+		if len(newest.Holes)+len(c.Missing) > 0 {
 			c.doubt()
 		}
 	}
@@ -258,6 +267,7 @@
 type snapshot struct {
 	Report
 	frames []entry
+	clock  *clock.Anchor
 }
 
 // read reads a snapshot; false if it is not whole.
@@ -269,7 +279,7 @@
 	for i, e := range all {
 		switch {
 		case e.rec.Kind == recHead && e.rec.Head != nil:
-			s.Name, s.Began = e.rec.Head.Name, e.rec.Head.Began
+			s.Name, s.Began, s.clock = e.rec.Head.Name, e.rec.Head.Began, e.rec.Head.Clock
 		case e.rec.Kind == recFoot:
 			whole = i == len(all)-1 && e.rec.N == len(s.frames) && len(s.Holes) == 0
 		default:
@@ -362,6 +372,9 @@
 			break
 		}
 	}
+	if s.head != nil && s.head.Clock != nil {
+		c.resume(s.head.Clock)
+	}
 	next := 0
 	for _, e := range s.all {
 		if e.at >= end {
--- a/internal/wal/report.go
+++ b/internal/wal/report.go
@@ -55,7 +55,7 @@
 		return nil, nil, fmt.Errorf("wal: %w", err)
 	}
 	if inSegments(names) {
-		c, err := readChain(d, names)
+		c, err := readChain(d, names, newStampedState())
 		if err != nil {
 			return nil, nil, err
 		}
@@ -65,7 +65,7 @@
 	if err != nil {
 		return &Report{}, nil, ignoreAbsent(err)
 	}
-	s := state{live: map[uint32]*Message{}}
+	s := newStampedState()
 	good, damaged := s.replay(data)
 	r := &Report{Format: 1, Bytes: int64(len(data)), Files: []string{name}}
 	if damaged {
--- a/internal/wal/segments.go
+++ b/internal/wal/segments.go
@@ -35,6 +35,7 @@
 // segments keeps a log in segments with snapshots.
 type segments struct {
 	Options
+	times    *state    // whose timeline the files go by
 	gen      uint64    // of the running segment
 	file     disk.File // the running segment; nil: none yet
 	used     int64     // bytes of it
@@ -68,11 +69,11 @@
 
 // openSegments reads a folder and begins a new generation in segments. A folder in one file is taken over.
 func (l *Log) openSegments(names []string, guarded bool) (Recovery, error) {
-	s := &segments{Options: l.Options, others: map[string]int64{}}
+	s := &segments{Options: l.Options, times: &l.state, others: map[string]int64{}}
 	s.wake.L = &s.mu
 	var found Recovery
 	if guarded {
-		c, err := readChain(l.FS, names)
+		c, err := readChain(l.FS, names, newState())
 		if err != nil {
 			return found, err
 		}
@@ -118,8 +119,8 @@
 			s.others[name] = sectors(int64(len(data)))
 		}
 	}
-	found.Messages = l.messages()
-	l.keep = s
+	found.Messages, found.times = l.messages(), l.times
+	l.keep, l.headed = s, true
 	if s.Told == nil {
 		s.Told = func() {}
 	}
@@ -138,7 +139,7 @@
 
 // leaveSegments puts a folder in segments back into one file.
 func (l *Log) leaveSegments(names []string) error {
-	c, err := readChain(l.FS, names)
+	c, err := readChain(l.FS, names, newState())
 	if err != nil {
 		return err
 	}
@@ -150,11 +151,14 @@
 func toSingle(d disk.FS, c *chain, names []string) error {
 	const back = "wal.back"
 	var buf []byte
+	for _, p := range c.clockRecord() {
+		buf = appendRecord(buf, p)
+	}
 	for _, m := range c.messages() {
 		if m.Doubt && m.Final == nil && !m.Withdrawn {
 			m.Final = &Final{} // one file has no doubt: what may have run may not be promised
 		}
-		buf = appendRecord(buf, payload(record{Kind: recAccept, ID: m.ID, Message: m}, m.Body))
+		buf = appendRecord(buf, c.accepted(m))
 	}
 	f, err := d.Open(back)
 	if err != nil {
@@ -225,7 +229,7 @@
 func (s *segments) snapshot(gen uint64, live [][]byte) error {
 	salt := gen | snapSalt
 	add := func(buf []byte, p []byte) []byte { return appendFrame(buf, salt, int64(len(buf)), 0, p) }
-	buf := add(nil, payload(record{Kind: recHead, Head: &head{Format: Format, Name: s.Name, Gen: gen, Began: clock.Now()}}, nil))
+	buf := add(nil, payload(record{Kind: recHead, Head: &head{Format: Format, Name: s.Name, Gen: gen, Began: s.times.times.Stamp(clock.Now()), Clock: s.times.clockAnchor()}}, nil))
 	for _, p := range live {
 		buf = add(buf, p)
 	}
@@ -287,7 +291,7 @@
 	if err != nil {
 		return fmt.Errorf("wal: segment: %w", err)
 	}
-	h := head{Format: Format, Name: s.Name, Gen: gen, Began: clock.Now()}
+	h := head{Format: Format, Name: s.Name, Gen: gen, Began: s.times.times.Stamp(clock.Now()), Clock: s.times.clockAnchor()}
 	if prev != nil {
 		h.Prev, h.Good, h.Kept = prev.Prev, prev.Good, prev.Kept
 	}
--- a/internal/wal/single.go
+++ b/internal/wal/single.go
@@ -45,8 +45,8 @@
 		f.Close()
 		return Recovery{}, fmt.Errorf("wal: drop a torn tail: %w", err)
 	}
-	l.keep = &single{d: l.FS, limit: l.Limit, file: f, used: good}
-	return Recovery{Messages: l.messages(), Damaged: damaged}, nil
+	l.keep, l.anchored = &single{d: l.FS, limit: l.Limit, file: f, used: good}, l.resumed
+	return Recovery{Messages: l.messages(), Damaged: damaged, times: l.times}, nil
 }
 
 func (s *single) size() int64 { return s.used }
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -1,5 +1,6 @@
 // Package wal is the relay's write-ahead log: what it has taken on, what it has sent, and what has ended, in
-// the folder that outlasts the process. Times in it are wall time, since no process's own clock means anything to the next.
+// the folder that outlasts the process. Times in it stand on a timeline of package clock, which a step of the wall clock
+// does not move: see times.go.
 //
 // It is kept in one of two ways. By default in one file: what was written survives SIGKILL without a sync, and only the
 // machine's loss loses it. With Options.Format 2 in segments, each with a snapshot before it, whose every byte is checked
@@ -17,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/disk"
 )
 
@@ -79,12 +81,14 @@
 	Damaged bool
 	// Report is what reading a folder for segments found; nil without them.
 	Report *Report
+
+	times clock.Timeline
 }
 
 // Latest is the newest time that stands in what was found; the zero time if there is none.
 func (r *Recovery) Latest() (latest time.Time) {
 	if r.Report != nil {
-		latest = r.Report.Began
+		latest = r.times.Local(r.Report.Began)
 	}
 	for _, m := range r.Messages {
 		for _, a := range m.MayRun {
@@ -104,9 +108,10 @@
 	recFinal
 	recEnd
 	recWithdrawn
-	recHead // of a file of a folder in segments
-	recFoot // of a snapshot: so many messages
-	recSeal // the segment ends here
+	recHead  // of a file of a folder in segments
+	recFoot  // of a snapshot: so many messages
+	recSeal  // the segment ends here
+	recClock // the times of what follows
 )
 
 const (
@@ -126,11 +131,12 @@
 type record struct {
 	Kind    byte
 	ID      uint32
-	Message *Message `json:",omitempty"`
-	Attempt *Attempt `json:",omitempty"`
-	N       int      `json:",omitempty"`
-	Final   *Final   `json:",omitempty"`
-	Head    *head    `json:",omitempty"`
+	Message *Message      `json:",omitempty"`
+	Attempt *Attempt      `json:",omitempty"`
+	N       int           `json:",omitempty"`
+	Final   *Final        `json:",omitempty"`
+	Head    *head         `json:",omitempty"`
+	Clock   *clock.Anchor `json:",omitempty"`
 }
 
 // Options is how a log is kept. Only Dir and Limit are needed.
@@ -153,8 +159,10 @@
 type Log struct {
 	Options
 	state
-	keep  keeper
-	notes [][]byte // payloads of outcomes and ends not yet written
+	keep     keeper
+	notes    [][]byte // payloads of outcomes and ends not yet written
+	anchored bool     // the file that is written says by which timeline
+	headed   bool     // each file says so in its head
 }
 
 // keeper is how a log is kept.
@@ -213,7 +221,7 @@
 	if o.FS == nil {
 		o.FS = disk.Dir(o.Dir)
 	}
-	l := &Log{Options: o, state: state{live: map[uint32]*Message{}}}
+	l := &Log{Options: o, state: newState()}
 	names, err := o.FS.Names()
 	if err != nil {
 		return nil, Recovery{}, fmt.Errorf("wal: %w", err)
@@ -311,7 +319,7 @@
 	}
 	var buf [][]byte
 	for _, m := range ms {
-		buf = append(buf, payload(record{Kind: recAccept, ID: m.ID, Message: m}, m.Body))
+		buf = append(buf, l.accepted(m))
 	}
 	if l.bytes+l.keep.framed(buf) > l.share(liveShare) {
 		return ErrFull
@@ -330,7 +338,9 @@
 func (l *Log) Sent(sends ...Send) error {
 	var buf [][]byte
 	for _, s := range sends {
-		buf = append(buf, payload(record{Kind: recSend, ID: s.Message.ID, Attempt: &s.Attempt}, nil))
+		stamped := s.Attempt
+		stamped.At = l.times.Stamp(stamped.At)
+		buf = append(buf, payload(record{Kind: recSend, ID: s.Message.ID, Attempt: &stamped}, nil))
 	}
 	if err := l.write(buf); err != nil {
 		return err
@@ -399,7 +409,7 @@
 		}
 		return ErrWorn
 	}
-	all := slices.Concat(l.notes, buf)
+	all := slices.Concat(l.anchor(), l.notes, buf)
 	if l.keep.size()+l.keep.framed(all) > l.share(compactShare) {
 		// The notes are in the state that a compaction writes, so they need no records of their own. Where it
 		// fails, the room beyond the share is left.
@@ -407,7 +417,7 @@
 			all = buf
 		}
 	}
-	if len(all) == 0 {
+	if len(l.notes)+len(buf) == 0 {
 		return nil
 	}
 	if l.keep.size()+l.keep.framed(all)+l.keep.forStart(l.bytes) > l.Limit-2*disk.Sector {
@@ -416,7 +426,7 @@
 	if err := l.keep.append(all); err != nil {
 		return err
 	}
-	l.notes = l.notes[:0]
+	l.notes, l.anchored = l.notes[:0], true
 	return nil
 }
 
@@ -425,7 +435,7 @@
 	if err := l.keep.compact(l.snapshot()); err != nil {
 		return err
 	}
-	l.notes, l.bytes = l.notes[:0], 0
+	l.notes, l.bytes, l.anchored = l.notes[:0], 0, true
 	for _, m := range l.live {
 		l.bytes += cost(m)
 	}
@@ -434,8 +444,11 @@
 
 // snapshot is the live messages as records.
 func (l *Log) snapshot() (all [][]byte) {
+	if !l.headed {
+		all = l.clockRecord()
+	}
 	for _, m := range l.messages() {
-		all = append(all, payload(record{Kind: recAccept, ID: m.ID, Message: m}, m.Body))
+		all = append(all, l.accepted(m))
 	}
 	return all
 }
@@ -474,9 +487,13 @@
 func (s *state) apply(rec record, body []byte) {
 	m := s.live[rec.ID]
 	switch {
+	case rec.Kind == recClock && rec.Clock != nil:
+		s.resume(rec.Clock)
+		return
 	case rec.Kind == recAccept && rec.Message != nil:
 		m = rec.Message
 		m.ID, m.Body = rec.ID, slices.Clone(body)
+		s.localize(m)
 		s.live[m.ID] = m
 		s.bytes += cost(m)
 		return
@@ -486,6 +503,7 @@
 	s.bytes -= cost(m)
 	switch {
 	case rec.Kind == recSend && rec.Attempt != nil:
+		rec.Attempt.At = s.times.Local(rec.Attempt.At)
 		m.sent(*rec.Attempt)
 	case rec.Kind == recOutcome:
 		m.neverRan(rec.N)
