--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -28,6 +28,10 @@
 // ErrHeld tells that another process has the log.
 var ErrHeld = errors.New("wal: held by another process")
 
+// ErrUnclear tells that what was to be written may stand in the log all the same, and can't be taken away now: should the process
+// end before it is, the next one finds it.
+var ErrUnclear = errors.New("wal: what was not written may stand in the log")
+
 // Message is a message that was taken on, with what the log knows of its fate.
 type Message struct {
 	ID       uint32 // the log's own number for it
