Have the log outlast calls that fail with their effect, at a start and in a run

Cause: single.append cut the file after a failed write and went on where that failed too, so that the rest of a refused record was read later (and all messages given up as damaged); segments.append did not cut at all; compact took a failed rename for one without effect; openSingle and openSegments ended a start at the first call that changes the folder and fails. Change: what a failed write may have left is erased, or nothing is appended before it is; ErrUnclear tells where it may be read by the next start all the same. A rename that failed is looked at: the file that bears the name is the log's. A start that can read goes on, and the log is mended beside it (Tend, every 20 ms).

--- a/internal/wal/segments.go
+++ b/internal/wal/segments.go
@@ -41,6 +41,8 @@
 	used     int64     // bytes of it
 	reserved int64     // bytes that it has on disk at least
 	aside    int64     // bytes on disk of what was set aside
+	// unguarded tells that the folder does not say yet that it is kept in segments. Nothing is written before it does.
+	unguarded bool
 
 	mu       sync.Mutex
 	wake     sync.Cond
@@ -99,10 +101,7 @@
 		}
 		s.setAside(&c.Report, names)
 	} else {
-		// From here on a version that knows one file alone does not start: it would find none of what follows.
-		if err := errors.Join(l.FS.Guard(guardName, guardFile), s.syncDir()); err != nil {
-			return found, fmt.Errorf("wal: take over the folder: %w", err)
-		}
+		s.unguarded = true
 		data, err := l.FS.ReadFile(name)
 		if err != nil && !slices.Contains(names, name) {
 			data = nil
@@ -127,7 +126,10 @@
 	if l.Power {
 		s.ended.Go(s.syncs)
 	}
-	err := s.snapshot(s.gen+1, l.snapshot())
+	err := s.guard()
+	if err == nil {
+		err = s.snapshot(s.gen+1, l.snapshot())
+	}
 	if err == nil {
 		err = s.begin(s.gen+1, nil)
 	}
@@ -137,6 +139,19 @@
 	return found, nil
 }
 
+// guard marks a folder that was kept in one file before. From here on a version that knows one file alone does not start: it would
+// find none of what follows.
+func (s *segments) guard() error {
+	if !s.unguarded {
+		return nil
+	}
+	if err := errors.Join(s.FS.Guard(guardName, guardFile), s.syncDir()); err != nil {
+		return fmt.Errorf("wal: take over the folder: %w", err)
+	}
+	s.unguarded = false
+	return nil
+}
+
 // leaveSegments puts a folder in segments back into one file.
 func (l *Log) leaveSegments(names []string) error {
 	c, err := readChain(l.FS, names, newState())
@@ -253,6 +268,9 @@
 		if err = s.FS.Rename(snapTemp, genName(snapPrefix, gen)); err == nil {
 			err = s.syncDir()
 		}
+		if err != nil {
+			s.withdrawSnapshot(gen, err)
+		}
 	}
 	if err != nil {
 		return errors.Join(fmt.Errorf("wal: snapshot: %w", err), s.FS.Remove(snapTemp))
@@ -275,6 +293,20 @@
 	return nil
 }
 
+// withdrawSnapshot takes away a snapshot whose rename may have had its effect. While it stands, no segment before it counts: where
+// it can't be taken away, nothing more is written to them.
+func (s *segments) withdrawSnapshot(gen uint64, cause error) {
+	s.mu.Lock()
+	followed := gen <= s.gen
+	s.mu.Unlock()
+	if followed {
+		return // the segments that follow it count
+	}
+	if err := s.FS.Remove(genName(snapPrefix, gen)); err != nil {
+		s.fail(errors.Join(cause, err))
+	}
+}
+
 // count counts a file as taking so many bytes of the disk.
 func (s *segments) count(name string, bytes int64) {
 	s.mu.Lock()
@@ -382,7 +414,7 @@
 		}
 	}
 	if _, err := s.file.WriteAt(buf, at); err != nil {
-		return fmt.Errorf("wal: %w", err) // what was written of it is written over
+		return s.takeBack(at, int64(len(buf)), fmt.Errorf("wal: %w", err))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -404,6 +436,19 @@
 	return nil
 }
 
+// takeBack takes away what a failed write may have left behind the good part of the segment. Where that fails as well, the segment
+// is given up.
+func (s *segments) takeBack(at, size int64, cause error) error {
+	if err := erase(s.file, at, at+size); err != nil {
+		s.fail(cause)
+		return errors.Join(ErrUnclear, cause, err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reserved = 0 // what was cut off was had with it
+	return cause
+}
+
 // compact begins a new generation. Without Power, when it returns, the files before it are gone; with it they go once the
 // snapshot is on disk, and what is written meanwhile is as durable as before.
 func (s *segments) compact(live [][]byte) error {
--- a/internal/wal/single.go
+++ b/internal/wal/single.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"hash/crc32"
 	"io/fs"
+	"slices"
+	"time"
 
 	"onyxroad.dev/onyxroad/internal/disk"
 )
@@ -21,31 +23,42 @@
 type single struct {
 	d     disk.FS
 	limit int64
-	file  disk.File
-	used  int64 // of the file, all of it good
+	file  disk.File // nil: it could not be opened yet
+	used  int64     // of the file, all of it good
+	// stray is how many bytes behind that may hold records which were not written, or a torn one. They go before anything is
+	// appended: a later record that covers a part of them would have the others read.
+	stray   int64
+	written uint64 // writes, and recoveries from failed ones
+	failed  error  // why the last write failed; nil if it did not
+	// replacement is a file that a compaction has written, of which it is not known whether it has taken the log's name.
+	replacement *replacement
+	told        func()
 }
 
+// replacement is a file that may have taken the place of the log's.
+type replacement struct {
+	file disk.File
+	used int64
+}
+
+// retryAfter is the pause before the log looks whether a disk that has failed it is well again.
+const retryAfter = 20 * time.Millisecond
+
 // openSingle reads the log in one file, or begins it.
 func (l *Log) openSingle() (Recovery, error) {
 	// A crash in mid-compaction leaves the old file whole and a part of the new one.
-	if err := l.FS.Remove(tempName); err != nil {
-		return Recovery{}, fmt.Errorf("wal: %w", err)
-	}
+	_ = l.FS.Remove(tempName) // the next compaction writes over it
 	data, err := l.FS.ReadFile(name)
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return Recovery{}, fmt.Errorf("wal: %w", err)
 	}
 	good, damaged := l.replay(data)
-	f, err := l.FS.Open(name)
-	if err != nil {
-		return Recovery{}, fmt.Errorf("wal: %w", err)
-	}
 	// What follows a torn record could not be told from it: the tail goes before anything is appended.
-	if err := f.Truncate(good); err != nil {
-		f.Close()
-		return Recovery{}, fmt.Errorf("wal: drop a torn tail: %w", err)
+	s := &single{d: l.FS, limit: l.Limit, used: good, stray: int64(len(data)) - good, told: l.Told}
+	if s.failed = s.mend(); s.failed != nil {
+		s.retryLater()
 	}
-	l.keep, l.anchored = &single{d: l.FS, limit: l.Limit, file: f, used: good}, l.resumed
+	l.keep, l.anchored = s, l.resumed
 	return Recovery{Messages: l.messages(), Damaged: damaged, times: l.times}, nil
 }
 
@@ -59,11 +72,70 @@
 }
 
 func (s *single) fit() error                       { return nil }
-func (s *single) marks() (written, durable uint64) { return 0, 0 }
-func (s *single) worn() bool                       { return false }
-func (s *single) tend(func() [][]byte) bool        { return true }
+func (s *single) marks() (written, durable uint64) { return s.written, s.written }
+func (s *single) worn() bool                       { return s.file == nil || s.replacement != nil }
 func (s *single) forStart(int64) int64             { return 0 }
-func (s *single) failure() error                   { return nil }
+func (s *single) failure() error                   { return s.failed }
+
+// tend goes on after a failed write, if the disk lets it.
+func (s *single) tend(func() [][]byte) bool {
+	if s.failed == nil {
+		return true
+	}
+	if err := s.mend(); err != nil {
+		s.failed = err
+		s.retryLater()
+		return false
+	}
+	s.failed = nil
+	s.written++
+	return true
+}
+
+// retryLater has the log's owner look again after a while.
+func (s *single) retryLater() {
+	if s.told != nil {
+		time.AfterFunc(retryAfter, s.told)
+	}
+}
+
+// mend brings the file into the state that the log takes it to be in.
+func (s *single) mend() error {
+	if s.replacement != nil {
+		if err := s.settleReplacement(); err != nil {
+			return err
+		}
+	}
+	if s.file == nil {
+		f, err := s.d.Open(name)
+		if err != nil {
+			return fmt.Errorf("wal: %w", err)
+		}
+		s.file = f
+	}
+	return s.clean()
+}
+
+// clean takes away what stands behind the good part of the file.
+func (s *single) clean() error {
+	if s.stray == 0 {
+		return nil
+	}
+	if err := erase(s.file, s.used, s.used+s.stray); err != nil {
+		return fmt.Errorf("wal: drop what was not written: %w", err)
+	}
+	s.stray = 0
+	return nil
+}
+
+// erase takes away the bytes of a file from an offset to its end. Zeros do as well where it can't be cut: no record begins so.
+func erase(f disk.File, from, to int64) error {
+	if f.Truncate(from) == nil {
+		return nil
+	}
+	_, err := f.WriteAt(make([]byte, to-from), from)
+	return err
+}
 
 // reclaim has the one file stand again where another process has put segments in its place. One that keeps a single file
 // has changed nothing of it.
@@ -82,8 +154,8 @@
 	if err != nil {
 		return errors.Join(err, f.Close())
 	}
-	s.file.Close()
-	s.file, s.used = f, int64(len(data))
+	s.replacement = &replacement{f, int64(len(data))}
+	s.adopt()
 	return nil
 }
 
@@ -92,19 +164,42 @@
 	for _, p := range payloads {
 		buf = appendRecord(buf, p)
 	}
+	if s.worn() {
+		return errors.Join(ErrWorn, s.failed)
+	}
+	if err := s.clean(); err != nil {
+		return s.fail(err)
+	}
 	if _, err := s.file.WriteAt(buf, s.used); err != nil {
-		// A part may have been written: it must not stand before later records.
-		return errors.Join(fmt.Errorf("wal: %w", err), s.file.Truncate(s.used))
+		// All of it may have been written: it must neither stand before later records nor be read by the next start.
+		s.stray = int64(len(buf))
+		err = s.fail(fmt.Errorf("wal: %w", err))
+		if cleanErr := s.clean(); cleanErr != nil {
+			err = errors.Join(ErrUnclear, err, cleanErr)
+		}
+		return err
 	}
 	s.used += int64(len(buf))
+	s.written++
+	s.failed = nil
 	return nil
 }
 
+// fail notes why a write failed.
+func (s *single) fail(err error) error {
+	s.failed = err
+	s.retryLater()
+	return errors.Join(ErrWorn, err)
+}
+
 func (s *single) compact(live [][]byte) error {
 	var buf []byte
 	for _, p := range live {
 		buf = appendRecord(buf, p)
 	}
+	if s.worn() {
+		return ErrWorn
+	}
 	if s.used+int64(len(buf))+4*disk.Sector > s.limit {
 		return ErrFull
 	}
@@ -115,18 +210,55 @@
 	if err = f.Truncate(0); err == nil {
 		_, err = f.WriteAt(buf, 0)
 	}
-	if err == nil {
-		err = s.d.Rename(tempName, name) // a crash leaves the one or the other, whole
-	}
 	if err != nil {
 		return errors.Join(fmt.Errorf("wal: compact: %w", err), f.Close(), s.d.Remove(tempName))
 	}
-	s.file.Close()
-	s.file, s.used = f, int64(len(buf))
+	s.replacement = &replacement{f, int64(len(buf))}
+	renameErr := s.d.Rename(tempName, name) // a crash leaves the one or the other, whole
+	if renameErr == nil {
+		s.adopt()
+		return nil
+	}
+	renameErr = fmt.Errorf("wal: compact: %w", renameErr)
+	if err := s.settleReplacement(); err != nil {
+		return s.fail(errors.Join(renameErr, err))
+	}
+	if s.file == f {
+		return nil // it has taken the place all the same
+	}
+	return renameErr
+}
+
+// adopt has the replacement be the log's file.
+func (s *single) adopt() {
+	if s.file != nil {
+		s.file.Close()
+	}
+	s.file, s.used, s.stray, s.replacement = s.replacement.file, s.replacement.used, 0, nil
+}
+
+// settleReplacement finds out whether the replacement has taken the log's name, though its rename told of an error.
+func (s *single) settleReplacement() error {
+	names, err := s.d.Names()
+	if err != nil {
+		return fmt.Errorf("wal: which file is the log's: %w", err)
+	}
+	if !slices.Contains(names, tempName) {
+		s.adopt()
+		return nil
+	}
+	s.replacement.file.Close()
+	s.replacement = nil
+	_ = s.d.Remove(tempName) // the next compaction writes over it
 	return nil
 }
 
-func (s *single) close() error { return s.file.Close() }
+func (s *single) close() error {
+	if s.file == nil {
+		return s.failed
+	}
+	return errors.Join(s.clean(), s.file.Close())
+}
 
 // replay applies the records in data. It passes over what it cannot read and returns the end of the last good
 // record, and whether unreadable bytes stood before it.
--- a/internal/wal/sync.go
+++ b/internal/wal/sync.go
@@ -57,6 +57,12 @@
 		s.durable = s.written
 		return true
 	case clock.Since(tried) >= renewAfter:
+		if s.guard() != nil {
+			s.mu.Lock()
+			s.tried = clock.Now()
+			s.mu.Unlock()
+			return false
+		}
 		gen := s.gen + 1
 		if !s.Power {
 			s.tried = clock.Now()
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -258,10 +258,10 @@
 	return n
 }
 
-// Tend goes on after the disk has failed the log, once it can: a new file is begun with all that is live, and nothing more
-// is trusted to the one before. False tells that the log still waits for that.
+// Tend goes on after the disk has failed the log, once it can. In segments a new file is begun with all that is live, and nothing
+// more is trusted to the one before; a single file is put in order. False tells that the log still waits for that.
 func (l *Log) Tend() bool {
-	if !l.keep.worn() {
+	if l.keep.failure() == nil {
 		return true
 	}
 	ok := l.keep.tend(func() [][]byte {
