Open the relay's sockets and files where tests and the testbed can have calls fail

Cause: no test could have accept, socket, connect, a read or a write fail, nor the files of the default format. Change: package sockets stands before package net; faultfile has a testbed's build fail calls by a file's rules. Otherwise nothing is added.

--- /dev/null
+++ b/internal/faultfile/disk.go
@@ -0,0 +1,18 @@
+package faultfile
+
+import (
+	"onyxroad.dev/onyxroad/internal/disk"
+	"onyxroad.dev/onyxroad/internal/disk/faultdisk"
+)
+
+// Disk is a folder whose calls fail as the file says.
+func (f *File) Disk(fs disk.FS) disk.FS {
+	return &faultdisk.Disk{FS: fs, Fail: func(op faultdisk.Op, _ string) faultdisk.Fault {
+		rule := f.Next(string(op))
+		if rule.Errno == 0 {
+			return faultdisk.Fault{}
+		}
+		reach := map[string]faultdisk.Reach{"part": faultdisk.Part, "all": faultdisk.All}[rule.Reach]
+		return faultdisk.Fault{Err: rule.Errno, Reach: reach}
+	}}
+}
--- a/internal/program/files_testbed.go
+++ b/internal/program/files_testbed.go
@@ -8,10 +8,14 @@
 
 	"onyxroad.dev/onyxroad/internal/disk"
 	"onyxroad.dev/onyxroad/internal/disk/tracedisk"
+	"onyxroad.dev/onyxroad/internal/faultfile"
 )
 
 // files is the state folder on the testbed's emulated disk, in a build that the testbed makes for itself.
 func files(dir string) (disk.FS, error) {
+	if f := faultfile.Named(); f != nil {
+		return f.Disk(disk.Dir(dir)), nil
+	}
 	if trace := os.Getenv(tracedisk.Env); trace != "" {
 		return tracedisk.Open(disk.Dir(dir), trace)
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -120,9 +120,9 @@
 		if st.Remembers() {
 			cfg.MemoriesEvery = time.Duration(st.MemoriesEvery)
 		}
-		if cfg.Disk, err = files(cfg.StateDir); err != nil {
-			return err
-		}
+	}
+	if cfg.Disk, err = files(cfg.StateDir); err != nil {
+		return err
 	}
 	if b := own.Backlog; b != nil {
 		if b.Dir, err = ownFolder(b.Dir, cfg.StateDir); err != nil {
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/clock"
+	"onyxroad.dev/onyxroad/internal/sockets"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -97,7 +98,7 @@
 // run accepts connections until the listener is closed.
 func (s *clients) run(l net.Listener) error {
 	for {
-		nc, err := l.Accept()
+		nc, err := sockets.AcceptFrom(l)
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return nil
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -10,10 +10,11 @@
 	"io"
 	"log/slog"
 	"math"
-	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"onyxroad.dev/onyxroad/internal/sockets"
 )
 
 const (
@@ -60,7 +61,7 @@
 
 func newAgent(addr string) *agent {
 	a := &agent{addr: addr, client: &http.Client{Transport: &http.Transport{
-		DialContext:        (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:        sockets.NewDialer(time.Second).DialContext,
 		DisableCompression: true,
 		MaxConnsPerHost:    4,
 		IdleConnTimeout:    30 * time.Second,
--- a/internal/relay/durable.go
+++ b/internal/relay/durable.go
@@ -194,8 +194,9 @@
 		default:
 		}
 	}}
+	o.FS = r.cfg.Disk
 	if r.cfg.Segments {
-		o.Format, o.Power, o.Name, o.FS = wal.Format, r.cfg.Power, r.cfg.Name, r.cfg.Disk
+		o.Format, o.Power, o.Name = wal.Format, r.cfg.Power, r.cfg.Name
 	}
 	if r.cfg.MemoriesEvery > 0 {
 		o.Limit -= 2 * memoriesMost(r.cfg)
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/clock"
+	"onyxroad.dev/onyxroad/internal/sockets"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -167,12 +168,11 @@
 func (r *Relay) heirs() (end func()) {
 	path := filepath.Join(r.cfg.StateDir, linkName)
 	os.Remove(path) // left by a process before: this one has the log
-	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	l, err := sockets.ListenUnix(path)
 	if err != nil {
 		r.log.Warn("no hand-over to a new process", "err", err)
 		return func() {}
 	}
-	l.SetUnlinkOnClose(false) // by then the name may be another's
 	go func() {
 		for {
 			c, err := l.AcceptUnix()
@@ -470,7 +470,7 @@
 
 // inherit asks the process that serves now for its place. The link is nil if there is none.
 func inherit(cfg Config) (l *link, from estate, listener *net.TCPListener, err error) {
-	c, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: filepath.Join(cfg.StateDir, linkName), Net: "unix"})
+	c, err := sockets.DialUnix(filepath.Join(cfg.StateDir, linkName))
 	if err != nil {
 		return nil, estate{}, nil, nil // nobody there
 	}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/clock"
+	"onyxroad.dev/onyxroad/internal/sockets"
 )
 
 // roomPause is how long a call waits before it looks for a free connection or descriptor again.
@@ -50,7 +51,7 @@
 
 func newPool(cfg Config) *pool {
 	return &pool{
-		dial:           (&net.Dialer{KeepAlive: -1}).DialContext,
+		dial:           sockets.NewDialer(0).DialContext,
 		connectTimeout: cfg.ConnectTimeout,
 		idleFor:        time.Duration(idleShare * float64(cfg.KeepAlive)),
 		most:           cfg.Limits.Sockets * 3 / 8,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,6 +22,7 @@
 
 	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/membership"
+	"onyxroad.dev/onyxroad/internal/sockets"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -190,7 +191,7 @@
 	r.finals = newFinals(log, r.agent, func(ids []uint32) { r.post(confirmed{ids}) })
 	// Before the old process gives anything away: what can fail has failed by then.
 	if cfg.Admin != "" {
-		l, err := net.Listen("tcp", cfg.Admin)
+		l, err := sockets.ListenTCP(cfg.Admin)
 		if err != nil {
 			return nil, fmt.Errorf("relay: admin: %w", err)
 		}
@@ -213,11 +214,11 @@
 func (r *Relay) Run(ctx context.Context) error {
 	defer r.endAdmin()
 	if r.listener == nil {
-		l, err := net.Listen("tcp", r.cfg.Listen)
+		l, err := sockets.ListenTCP(r.cfg.Listen)
 		if err != nil {
 			return errors.Join(fmt.Errorf("relay: %w", err), r.wal.Close())
 		}
-		r.listener = l.(*net.TCPListener)
+		r.listener = l
 	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
