--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/disk"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/internal/wire"
 	"onyxroad.dev/onyxroad/policy"
@@ -67,6 +68,12 @@
 
 // newTestRelay is a relay whose loop is not running: the test takes its part.
 func newTestRelay(t *testing.T) *Relay {
+	t.Helper()
+	return newTestRelayOn(t, func(string) disk.FS { return nil })
+}
+
+// newTestRelayOn is such a relay on a disk of the test's own.
+func newTestRelayOn(t *testing.T, files func(dir string) disk.FS) *Relay {
 	t.Helper()
 	c, err := parseConfig([]byte(`{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":` + settingsJSON +
 		`,"known":{"version":1,"full":true,"servers":[
@@ -75,6 +82,7 @@
 		t.Fatal(err)
 	}
 	c.StateDir = t.TempDir()
+	c.Disk = files(c.StateDir)
 	r, err := New(t.Context(), c, quiet())
 	if err != nil {
 		t.Fatal(err)
