Make calls again that fail for a moment, and tell no end before its record

Cause: clients.run had a connection closed on every accept that failed; New, Run, LoadConfig and takeUp ended the process at the first error of a socket or file; carryOut went on to tell ends, and blamed endpoints (ConnectFailed), where the log took no record; SIGHUP read a half-written configuration once; exclusions.load took an unreadable set for an empty one, and exclusions.set left a call without effect where the disk failed, though the rule holds from 1 s after it. Change: room is made for EMFILE alone; persist makes calls again for up to 20 s of a start; calls wait for the log and are cleared again, ends wait for it until their message's time is up, a refusal whose end is not in the log is told as a failure; a configuration is read again for 2 s. EINTR is heeded at flock, fallocate and fdatasync.

--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -135,10 +135,21 @@
 
 type file struct{ *os.File }
 
-func (f file) Sync() error { return unix.Fdatasync(int(f.Fd())) }
+// Uninterrupted makes a call of the system again for as long as a signal interrupts it.
+func Uninterrupted(call func() error) error {
+	for {
+		if err := call(); err != unix.EINTR {
+			return err
+		}
+	}
+}
+
+func (f file) Sync() error {
+	return Uninterrupted(func() error { return unix.Fdatasync(int(f.Fd())) })
+}
 
 func (f file) Reserve(off, bytes int64) error {
-	err := unix.Fallocate(int(f.Fd()), unix.FALLOC_FL_KEEP_SIZE, off, bytes)
+	err := Uninterrupted(func() error { return unix.Fallocate(int(f.Fd()), unix.FALLOC_FL_KEEP_SIZE, off, bytes) })
 	if err == unix.EOPNOTSUPP || err == unix.ENOSYS || err == unix.EINVAL {
 		return nil
 	}
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -67,6 +67,15 @@
 	}
 }
 
+// turned counts a message of a class that is turned away with an answer.
+func (f *figures) turned(class int, a answer) {
+	if a.status == http.StatusServiceUnavailable {
+		f.of(class).deferred.Add(1)
+		return
+	}
+	f.of(class).errored.Add(1)
+}
+
 func (f *figures) String() string {
 	var b strings.Builder
 	for i, name := range f.names {
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/clock"
@@ -54,6 +55,7 @@
 	switch err := r.record(calls); {
 	case errors.Is(err, wal.ErrWorn):
 		p.unwritten = true
+		p.waiting = r.answerTaken(p)
 	case err != nil:
 		r.log.Warn("log not written", "calls", len(calls), "err", err)
 		r.giveBack(calls, policy.ConnectFailed)
@@ -62,6 +64,19 @@
 	r.promise(p)
 }
 
+// answerTaken answers those whose messages are in the log, though what the step has decided is not, and returns the others.
+func (r *Relay) answerTaken(p promise) (waiting []*handIn) {
+	durable := r.wal.Durable()
+	return slices.DeleteFunc(p.waiting, func(in *handIn) bool {
+		taken := p.answers[in.as.ID]
+		if taken.status != http.StatusAccepted || in.as.seq > durable {
+			return false
+		}
+		in.reply <- taken
+		return true
+	})
+}
+
 // addSend puts a send into the call that the module has decided on.
 func (r *Relay) addSend(calls []*call, m *message, a policy.Action) []*call {
 	t := r.routes[a.Route]
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -15,8 +15,11 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/sockets"
 	"onyxroad.dev/onyxroad/internal/wal"
@@ -38,6 +41,8 @@
 	lingerFor  = 3 * time.Second
 	lingerMost = 128 << 20
 
+	acceptPause = 10 * time.Millisecond // after an accept that failed
+
 	silentFor = 100 * time.Millisecond // after this a connection on which nothing came makes way first
 	spareFor  = 2 * time.Second        // and an idle one may be closed without need
 )
@@ -87,10 +92,13 @@
 	leaving int  // of them, dismissed
 	ending  bool // answers end their connections
 	closed  bool // none is accepted any more
+
+	failedAccepts rate.Sometimes // bounds what is logged of them
 }
 
 func newClients(log *slog.Logger, most int, answer func(*client, *http.Request) answer) *clients {
-	s := &clients{log: log, answer: answer, most: most, roomy: most * 3 / 8, conns: map[*client]struct{}{}}
+	s := &clients{log: log, answer: answer, most: most, roomy: most * 3 / 8, conns: map[*client]struct{}{},
+		failedAccepts: rate.Sometimes{First: 1, Interval: time.Second}}
 	s.room.L = &s.mu
 	return s
 }
@@ -103,10 +111,13 @@
 		case errors.Is(err, net.ErrClosed):
 			return nil
 		case err != nil:
-			// Out of descriptors, say, or a client that left at once: no reason to end.
-			s.log.Warn("accept", "err", err)
-			s.makeRoom(true)
-			time.Sleep(10 * time.Millisecond)
+			// A client that left at once, say, or a machine that is short of what this process can't give back: no reason to
+			// close a connection whose request may be on its way.
+			s.failedAccepts.Do(func() { s.log.Warn("accept", "err", err) })
+			if errors.Is(err, syscall.EMFILE) {
+				s.makeRoom(true)
+			}
+			time.Sleep(acceptPause)
 			continue
 		}
 		s.makeRoom(false)
--- a/internal/relay/config_test.go
+++ b/internal/relay/config_test.go
@@ -38,3 +38,28 @@
 		}
 	}
 }
+
+// A configuration that can't be read at first, or is half written, is read again: SIGHUP comes once.
+func TestAConfigurationIsReadAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	whole := `{"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":` + settingsJSON + `}`
+	if err := os.WriteFile(path, []byte(whole[:len(whole)/2]), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	read := 0
+	getenv := func(name string) string {
+		if name != "ROUTER_CONFIG" {
+			return ""
+		}
+		if read++; read == 3 {
+			if err := os.WriteFile(path, []byte(whole), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return path
+	}
+	c, err := ReloadConfigWithin(t.Context(), getenv)
+	if err != nil || c.Discovery != "127.0.0.1:2" {
+		t.Errorf("discovery %q, %v", c.Discovery, err)
+	}
+}
--- a/internal/relay/durable.go
+++ b/internal/relay/durable.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"slices"
 	"time"
 
@@ -46,11 +47,24 @@
 		r.fulfil(p)
 		return
 	}
+	p.ended = r.tellOverdue(p.ended)
 	if len(p.waiting)+len(p.ended)+len(p.calls) > 0 {
 		r.promises = append(r.promises, p)
 	}
 }
 
+// tellOverdue tells the ends of messages whose time is up, which nothing can send any more, and returns the others.
+func (r *Relay) tellOverdue(ended []*message) []*message {
+	now := clock.Now()
+	return slices.DeleteFunc(ended, func(m *message) bool {
+		if now.Before(m.Deadline) {
+			return false
+		}
+		r.notify(m)
+		return true
+	})
+}
+
 // redeem carries out what has become durable.
 func (r *Relay) redeem() {
 	for durable := r.wal.Durable(); len(r.promises) > 0 && r.promises[0].seq <= durable; {
@@ -77,11 +91,14 @@
 		calls = append(calls, c)
 	}
 	if p.unwritten && len(calls) > 0 {
-		if err := r.record(calls); err != nil {
+		switch err := r.record(calls); {
+		case errors.Is(err, wal.ErrWorn):
+			r.promise(promise{calls: calls, unwritten: true})
+		case err != nil:
 			r.giveBack(calls, policy.Moot)
-			return
+		default:
+			r.promise(promise{calls: calls})
 		}
-		r.promise(promise{calls: calls})
 		return
 	}
 	for _, c := range calls {
@@ -115,14 +132,15 @@
 	now := clock.Now()
 	for i := range r.promises {
 		p := &r.promises[i]
+		p.ended = r.tellOverdue(p.ended)
 		if now.Sub(p.since) < answerMost {
-			break
+			continue
 		}
 		for _, in := range p.waiting {
 			in.reply <- r.overdue(in.as, p.answers[in.as.ID])
 		}
 		p.waiting = nil
-		if now.Sub(p.since) < tellMost {
+		if p.unwritten || now.Sub(p.since) < tellMost {
 			continue
 		}
 		for _, m := range p.ended {
@@ -134,8 +152,12 @@
 
 // overdue is the answer to a client that waits too long for the disk. A message that is not on it is not taken on.
 func (r *Relay) overdue(m *message, a answer) answer {
-	if a.status != 202 || m.seq <= r.wal.Durable() {
+	switch {
+	case a.status == http.StatusAccepted && m.seq <= r.wal.Durable():
 		return a
+	case a.status != http.StatusAccepted:
+		// Its end is not in the log, and the next process might send it after all: no promise that it has no effect.
+		return answer{status: http.StatusInternalServerError}
 	}
 	turned := answer{status: 503, again: policy.RetryAdvice}
 	if m.Withdrawn || !r.wal.Owes(m.Message) {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -167,27 +167,41 @@
 // that comes waits for the log until this one ends.
 func (r *Relay) heirs() (end func()) {
 	path := filepath.Join(r.cfg.StateDir, linkName)
-	os.Remove(path) // left by a process before: this one has the log
-	l, err := sockets.ListenUnix(path)
-	if err != nil {
-		r.log.Warn("no hand-over to a new process", "err", err)
-		return func() {}
-	}
-	go func() {
-		for {
-			c, err := l.AcceptUnix()
-			if errors.Is(err, net.ErrClosed) {
-				return
-			} else if err != nil {
-				time.Sleep(lockPause)
-				continue
-			}
-			if !r.post(takeover{newLink(c)}) {
-				c.Close()
+	ctx, stop := context.WithCancel(context.Background())
+	var waits sync.WaitGroup
+	waits.Go(func() {
+		var l *net.UnixListener
+		err := persist(ctx, r.log, "listen for a new process", forever, func() (err error) {
+			os.Remove(path) // left by a process before: this one has the log
+			l, err = sockets.ListenUnix(path)
+			return err
+		})
+		if err != nil {
+			if ctx.Err() == nil {
+				r.log.Warn("no hand-over to a new process", "err", err)
 			}
+			return
 		}
-	}()
-	return func() { l.Close() }
+		defer context.AfterFunc(ctx, func() { l.Close() })()
+		r.awaitHeirs(l)
+	})
+	return func() { stop(); waits.Wait() }
+}
+
+// awaitHeirs takes connections of new processes until the listener is closed.
+func (r *Relay) awaitHeirs(l *net.UnixListener) {
+	for {
+		c, err := l.AcceptUnix()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		} else if err != nil {
+			time.Sleep(lockPause)
+			continue
+		}
+		if !r.post(takeover{newLink(c)}) {
+			c.Close()
+		}
+	}
 }
 
 // handOver gives a new process all that it needs. Where that does not come to take it, all stays as it was.
@@ -426,6 +440,12 @@
 			err = errors.Join(err, r.wal.Close())
 		}
 	}
+	if err == nil {
+		if err = r.byHand.load(from.Seen); err != nil {
+			err = errors.Join(err, r.owed.close(), r.wal.Close())
+			r.owed = nil
+		}
+	}
 	if err == nil && l != nil && l.send(frame{Mine: true}) != nil {
 		err = errors.Join(wal.ErrHeld, r.owed.close(), r.wal.Close()) // that process waits no longer, or has ended: begin anew
 		r.owed = nil
@@ -437,6 +457,7 @@
 		if l != nil {
 			l.Close()
 			listener.Close()
+			r.byHand.unload()
 		}
 		return fmt.Errorf("relay: %w", err)
 	}
@@ -444,7 +465,6 @@
 	if found.Report != nil && !found.Report.Sound() {
 		r.log.Error("the state folder is damaged", "report", found.Report.Words())
 	}
-	r.byHand.load(from.Seen)
 	if l == nil {
 		return nil
 	}
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"net/http"
 	"slices"
 	"time"
@@ -188,18 +189,23 @@
 		r.log.Warn("refusing new messages", "err", err)
 	}
 	r.full = true
+	turned := answer{status: http.StatusServiceUnavailable, again: policy.RetryAdvice}
+	if errors.Is(err, wal.ErrUnclear) {
+		// The next process may find it: handed in once more, it would run twice.
+		turned = answer{status: http.StatusInternalServerError}
+	}
 	var joined []*handIn
 	for _, in := range waiting {
 		if m := in.as; m.Message == in.m {
 			r.held--
-			r.figures.of(m.Class).deferred.Add(1)
+			r.figures.turned(m.Class, turned)
 			delete(r.msgs, m.ID)
 			delete(r.traces, m.Trace)
 		} else if m.seq > 0 {
 			joined = append(joined, in) // of a message that is held
 			continue
 		}
-		in.reply <- answer{status: http.StatusServiceUnavailable, again: policy.RetryAdvice}
+		in.reply <- turned
 	}
 	for _, m := range r.left {
 		if m.next != nil && r.msgs[m.next.ID] == nil {
--- a/internal/relay/transient_test.go
+++ b/internal/relay/transient_test.go
@@ -200,3 +200,39 @@
 		})
 	}
 }
+
+// While the disk takes nothing no call is made, no endpoint is blamed for that, and none is lost: once the disk is well again the
+// call leaves.
+func TestACallWaitsForAFailingDisk(t *testing.T) {
+	var writes atomic.Int64 // that succeed
+	writes.Store(1)
+	r := newTestRelayOn(t, func(dir string) disk.FS {
+		return &faultdisk.Disk{FS: disk.Dir(dir), Fail: func(op faultdisk.Op, _ string) faultdisk.Fault {
+			if op == faultdisk.Write && writes.Add(-1) < 0 {
+				return faultdisk.Fault{Err: syscall.ENOSPC}
+			}
+			return faultdisk.Fault{}
+		}}
+	})
+	in := newHandIn("m1", 7, 5*time.Second)
+	r.step([]any{in}) // one write for the message, another for its send
+	if a, ok := answered(in); !ok || a.status != http.StatusAccepted {
+		t.Errorf("the message is in the log, and its client is told %+v, %v", a, ok)
+	}
+	m := r.traces["m1"]
+	for range 5 {
+		r.step(nil)
+		r.tend()
+	}
+	if r.out > 0 || m.sends != 1 || m.out != 1 {
+		t.Errorf("while the disk fails: %d calls out, %d sends", r.out, m.sends)
+	}
+	if n := r.sender.Avoided(r.now()); n > 0 {
+		t.Errorf("%d endpoints avoided for what the disk did", n)
+	}
+	writes.Store(1000)
+	eventually(t, "the call leaves", func() bool { r.step(nil); r.tend(); return r.out > 0 })
+	if len(m.MayRun) != 1 {
+		t.Errorf("recorded %+v", m.MayRun)
+	}
+}
--- a/internal/wal/segments.go
+++ b/internal/wal/segments.go
@@ -491,6 +491,8 @@
 	return s.failed != nil || s.file == nil
 }
 
+func (s *segments) goOn() {} // the new file counts as a write
+
 func (s *segments) failure() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/wal/single.go
+++ b/internal/wal/single.go
@@ -88,10 +88,11 @@
 		return false
 	}
 	s.failed = nil
-	s.written++
 	return true
 }
 
+func (s *single) goOn() { s.written++ }
+
 // retryLater has the log's owner look again after a while.
 func (s *single) retryLater() {
 	if s.told != nil {
@@ -174,7 +175,7 @@
 		// All of it may have been written: it must neither stand before later records nor be read by the next start.
 		s.stray = int64(len(buf))
 		err = s.fail(fmt.Errorf("wal: %w", err))
-		if cleanErr := s.clean(); cleanErr != nil {
+		if cleanErr := s.clean(); cleanErr != nil && !errors.Is(err, fs.ErrClosed) { // a closed file has taken nothing
 			err = errors.Join(ErrUnclear, err, cleanErr)
 		}
 		return err
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -186,6 +186,8 @@
 	// worn tells that nothing can be appended until tend has had a new file begun.
 	worn() bool
 	tend(live func() [][]byte) bool
+	// goOn has what waits for a write that failed go on: all that was noted has been written.
+	goOn()
 	failure() error
 	reclaim(names []string, l *Log) error
 	// fit tells, before new work is taken on, that outcomes and ends of what is held will find room.
@@ -205,7 +207,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("wal: %w", err)
 	}
-	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+	if err := disk.Uninterrupted(func() error { return syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) }); err != nil {
 		f.Close()
 		if errors.Is(err, syscall.EWOULDBLOCK) {
 			return nil, ErrHeld
@@ -268,7 +270,11 @@
 		l.notes = nil // they are in the state
 		return l.snapshot()
 	})
-	return ok && l.Flush() == nil
+	if !ok || l.Flush() != nil {
+		return false
+	}
+	l.keep.goOn()
+	return true
 }
 
 // Failure is why the log waits for a new file; nil if it does not.
