--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -254,3 +254,36 @@
 		}
 	}
 }
+
+// excess tells by how many calls the worst window since the return passed what the site's page allows: its budget of N calls,
+// 2 roots of N and 2; 3 roots of N and 3 under 30 calls.
+func (w *fleetWorld) excess() (worst float64) {
+	const few = 30 // calls
+	worst = math.Inf(-1)
+	for i := range w.pushes {
+		n, all, _ := w.window(i)
+		k := 2.0
+		if n < few {
+			k = 3
+		}
+		worst = math.Max(worst, all-n-k*math.Sqrt(n)-k)
+	}
+	return worst
+}
+
+// The budget binds however few senders there are, and where none of them is told a limit: one that was restarted in the outage, and
+// has much waiting, once poured all of it out after its first delivery.
+func TestFewSendersKeepTheRecoveryBudget(t *testing.T) {
+	for _, senders := range []int{1, 2, 3, 4, 6, 9} {
+		for _, limit := range []float64{3, 10, 30, 60} {
+			for _, fails := range []float64{1, 0.8} {
+				c := fleetCase{senders, limit, 2, fails, false, false, 10}
+				for seed := range uint64(24) {
+					if excess := playFleet(t, c, 1000+seed).excess(); excess > 0 {
+						t.Errorf("%v, seed %d: %.1f calls over the budget", c, seed, excess)
+					}
+				}
+			}
+		}
+	}
+}
