Keep a doubt after one delivery where no limit is known and messages wait

Cause: Sender.delivered ends a slight doubt with one delivery, and kept to the usual rate afterwards only where a limit is known; up to some tens of senders, told no limit, each may have much of a route's traffic, and one that was restarted in the outage poured out all that waited. Change: where no limit is known and more than a call waits the doubt stays, and the recovery budget with it.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -287,3 +287,18 @@
 		}
 	}
 }
+
+// Plays in which a sender that is told no limit has nothing waiting when one delivery in the outage ends its doubt, and then more to
+// send than the partner takes.
+func TestFewSendersWithNothingWaitingKeepTheRecoveryBudget(t *testing.T) {
+	for _, x := range []struct {
+		senders int
+		limit   float64
+		seed    uint64
+	}{{4, 10, 5012}, {6, 30, 5091}, {6, 60, 5008}, {6, 60, 5020}} {
+		c := fleetCase{x.senders, x.limit, 2, 0.8, false, false, 10}
+		if excess := playFleet(t, c, x.seed).excess(); excess > 0 {
+			t.Errorf("%v, seed %d: %.1f calls over the budget", c, x.seed, excess)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -476,8 +476,10 @@
 	}
 	s.count(g)
 	if r.run++; r.cold && r.back == 0 {
-		r.back, r.cold = s.now, !r.slight
-		if usual := max(s.part(g), s.rate(g)); !r.cold && s.limit(g) > 0 && len(g.dest.queue) > s.room(r) {
+		// One delivery ends a slight doubt, but not where more than a call waits and nothing tells how much may follow it.
+		waits := len(g.dest.queue) > s.room(r)
+		r.back, r.cold = s.now, !r.slight || waits && s.limit(g) == 0
+		if usual := max(s.part(g), s.rate(g)); !r.cold && waits {
 			g.pace, g.tokens, g.tokensAt, g.creptAt = min(cmp.Or(g.pace, usual), usual), 0, s.now, s.now
 		}
 	}
