Guard sending, repeating, ending, closing and starting; add a failing test of a close

Change: package invariant has a guard for each, and the relay tells them its facts at the one place where each happens (guards.go). Ends found at a start on a damaged log, and those of a backlog on its way, are told once they are recorded.

--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -125,7 +125,7 @@
 			return answer{status: http.StatusMethodNotAllowed, text: "GET only"}
 		}
 		if path == "/api/telemetry" {
-			return answer{status: http.StatusOK, text: r.figures.String() + r.fleet.figures()}
+			return answer{status: http.StatusOK, text: r.figures.String() + r.fleet.figures() + r.guard.Figures()}
 		}
 		if path == "/api/members" {
 			return r.members()
--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -132,6 +132,7 @@
 
 // launch makes a call, away from the loop.
 func (r *Relay) launch(c *call) {
+	r.checkSends(c)
 	r.out++
 	r.flying[c] = struct{}{}
 	for _, a := range c.attempts {
@@ -165,8 +166,10 @@
 	}
 }
 
-// notify queues the notice that ends a message.
-func (r *Relay) notify(m *message) {
+// notify queues the notice that ends a message. recorded tells whether the log has that end.
+func (r *Relay) notify(m *message, recorded bool) {
+	r.guard.Ending(m.Trace, m.notified, recorded, clock.Until(m.Deadline))
+	m.notified = true
 	r.finals.add(newNotice(m.ID, m.Trace, *m.Final))
 }
 
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -21,6 +21,7 @@
 	"golang.org/x/time/rate"
 
 	"onyxroad.dev/onyxroad/internal/clock"
+	"onyxroad.dev/onyxroad/internal/invariant"
 	"onyxroad.dev/onyxroad/internal/sockets"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
@@ -77,6 +78,8 @@
 	since     time.Time
 	dismissed bool // asked to end: a request that has been read still has its answer
 	gone      bool
+
+	unanswered bool // a request was read, its client has not left, and it has no answer yet; its own goroutine's
 }
 
 // clients serves the connections of clients. Where room is short, those that say nothing make way.
@@ -93,12 +96,13 @@
 	ending  bool // answers end their connections
 	closed  bool // none is accepted any more
 
+	guard         *invariant.Guard
 	failedAccepts rate.Sometimes // bounds what is logged of them
 }
 
 func newClients(log *slog.Logger, most int, answer func(*client, *http.Request) answer) *clients {
 	s := &clients{log: log, answer: answer, most: most, roomy: most * 3 / 8, conns: map[*client]struct{}{},
-		failedAccepts: rate.Sometimes{First: 1, Interval: time.Second}}
+		guard: invariant.New(log), failedAccepts: rate.Sometimes{First: 1, Interval: time.Second}}
 	s.room.L = &s.mu
 	return s
 }
@@ -281,6 +285,7 @@
 		late := !clock.Now().Before(by)
 		for c := range s.conns {
 			if late {
+				s.guard.Closing(c.RemoteAddr().String(), c.phase == busy && !c.gone, 0)
 				s.drop(c)
 			} else if c.phase == silent || c.phase == idle {
 				s.dismiss(c)
@@ -297,6 +302,9 @@
 	defer func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
+		if !c.gone {
+			s.guard.Closing(c.RemoteAddr().String(), c.unanswered, 0)
+		}
 		s.drop(c)
 	}()
 	for {
@@ -330,10 +338,12 @@
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
 		io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
+	c.unanswered = true
 	whole := int64(c.r.Buffered()) >= req.ContentLength && req.ContentLength >= 0
 	a := s.answer(c, req)
 	switch {
 	case a.status == 0:
+		c.unanswered = false
 		return false // the client has left
 	case a.status >= 400 && a.status < 500:
 		if whole {
@@ -344,6 +354,9 @@
 		}
 	}
 	last, err := s.reply(c, a, req.Close)
+	if err == nil && last && !req.Close {
+		s.guard.Closing(c.RemoteAddr().String(), false, c.r.Buffered())
+	}
 	return err == nil && !last
 }
 
@@ -405,6 +418,7 @@
 		return last, err
 	}
 	c.SetWriteDeadline(clock.Now().Add(writeFor))
+	c.unanswered = false // if it can't be written, its client has left
 	_, err := c.Write(text.Bytes())
 	return last, err
 }
--- a/internal/relay/clients_test.go
+++ b/internal/relay/clients_test.go
@@ -423,3 +423,46 @@
 		})
 	}
 }
+
+// A client that sends its next request before it has its answer has that read with the first. Whatever ends the connection then, both
+// have their answers.
+func TestARequestReadBehindAnotherIsAnswered(t *testing.T) {
+	for name, end := range map[string]func(s *clients, c *client){
+		"the relay ends":  func(s *clients, _ *client) { s.lastAnswers() },
+		"room is short":   func(s *clients, c *client) { s.mu.Lock(); s.dismiss(c); s.mu.Unlock() },
+		"many are served": func(s *clients, _ *client) { s.bound(0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var s *clients
+			text := "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"
+			requests := 0
+			s = newClients(quiet(), 64, func(c *client, _ *http.Request) answer {
+				if requests++; requests == 1 {
+					c.watch(nil)
+					for len(c.watched) == 0 {
+						runtime.Gosched()
+					}
+					end(s, c)
+					c.unwatch()
+				}
+				return answer{status: http.StatusAccepted}
+			})
+			s.guard.OnViolation(func(text string) { t.Error(text) })
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go s.run(l)
+			c := dial(t, l.Addr().String(), text)
+			io.WriteString(c, text)
+			r := bufio.NewReader(c)
+			for i := range 2 {
+				if res := read(t, r); res.StatusCode != http.StatusAccepted || res.Close != (i == 1) {
+					t.Errorf("answer %d: status %d, last %v", i+1, res.StatusCode, res.Close)
+				}
+			}
+			closed(t, name, r)
+		})
+	}
+}
--- a/internal/relay/durable.go
+++ b/internal/relay/durable.go
@@ -53,6 +53,14 @@
 	}
 }
 
+// tellEnds records the ends of messages that were decided on, and tells them.
+func (r *Relay) tellEnds(ended []*message) {
+	if len(ended) > 0 {
+		err := r.record(nil)
+		r.promise(promise{ended: ended, unwritten: errors.Is(err, wal.ErrWorn)})
+	}
+}
+
 // tellOverdue tells the ends of messages whose time is up, which nothing can send any more, and returns the others.
 func (r *Relay) tellOverdue(ended []*message) []*message {
 	now := clock.Now()
@@ -60,7 +68,7 @@
 		if now.Before(m.Deadline) {
 			return false
 		}
-		r.notify(m)
+		r.notify(m, false)
 		return true
 	})
 }
@@ -79,7 +87,7 @@
 		in.reply <- p.answers[in.as.ID]
 	}
 	for _, m := range p.ended {
-		r.notify(m)
+		r.notify(m, true)
 	}
 	held := p.unwritten || clock.Since(p.since) > heldMost
 	var calls []*call
@@ -144,7 +152,7 @@
 			continue
 		}
 		for _, m := range p.ended {
-			r.notify(m)
+			r.notify(m, true) // written, and not synced yet
 		}
 		p.ended = nil
 	}
--- /dev/null
+++ b/internal/relay/guards.go
@@ -0,0 +1,101 @@
+package relay
+
+import (
+	"slices"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/clock"
+	"onyxroad.dev/onyxroad/internal/invariant"
+	"onyxroad.dev/onyxroad/internal/wal"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// What the guards of package invariant are told. Nothing here decides anything.
+
+// checkSends tells the guard of a call that is about to leave.
+func (r *Relay) checkSends(c *call) {
+	now := clock.Now()
+	for _, a := range c.attempts {
+		r.guard.Sending(invariant.Send{
+			Trace: a.m.Trace, Endpoint: c.route, Recorded: a.recorded(), Ended: a.m.ended, EndOfSends: r.noSends,
+			Draining: r.outOfService.since(c.route, now), Left: a.m.Deadline.Sub(now),
+		})
+		r.checkRepeat(a, now)
+	}
+}
+
+// recorded tells whether the log has an attempt as one that may run.
+func (a *attempt) recorded() bool {
+	return slices.ContainsFunc(a.m.MayRun, func(x wal.Attempt) bool { return x.N == a.n })
+}
+
+// checkRepeat tells the guard of an attempt of a message of which an earlier one may have run.
+func (r *Relay) checkRepeat(a *attempt, now time.Time) {
+	first := slices.IndexFunc(a.m.MayRun, func(x wal.Attempt) bool { return x.N != a.n })
+	if first < 0 || a.m.Class < 0 || a.m.Class >= len(r.cfg.Settings.Classes) {
+		return
+	}
+	class, earlier := r.cfg.Settings.Classes[a.m.Class], a.m.MayRun[first]
+	repeat := invariant.Repeat{Trace: a.m.Trace, Unsafe: class.Effect == policy.Unsafe, Age: now.Sub(earlier.At), Zone: earlier.Zone,
+		To: a.zone, Earliest: earlier.Host}
+	if class.Effect == policy.Keyed {
+		repeat.Window, repeat.OneZone = class.Window, !class.GroupAll
+	}
+	r.guard.Repeating(repeat)
+}
+
+// outages are the endpoints that may get nothing new, with the moment since when.
+type outages map[string]time.Time
+
+// begin notes that an endpoint may get nothing new from now on.
+func (o outages) begin(route string) {
+	if _, ok := o[route]; !ok {
+		o[route] = clock.Now()
+	}
+}
+
+// since is for how long an endpoint may have got nothing new; 0 if it may.
+func (o outages) since(route string, now time.Time) time.Duration {
+	if at, ok := o[route]; ok {
+		return now.Sub(at)
+	}
+	return 0
+}
+
+// follow brings the outages up to date with the list and what operators have taken out.
+func (r *Relay) followOutages() {
+	for route, t := range r.routes {
+		if t.InService && !r.barred[route] {
+			delete(r.outOfService, route)
+		} else {
+			r.outOfService.begin(route)
+		}
+	}
+	for route := range r.outOfService {
+		if _, listed := r.routes[route]; !listed && len(r.outOfService) > seenMost {
+			delete(r.outOfService, route)
+		}
+	}
+}
+
+// checkBounds tells the guard of what the relay holds.
+func (r *Relay) checkBounds() {
+	sockets := r.cfg.Limits.Sockets
+	r.guard.Bound("connections of clients", int64(r.clients.held()), int64(sockets*9/20))
+	r.guard.Bound("connections to endpoints", int64(r.hosts.held()), int64(sockets*3/8))
+	r.guard.Bound("bytes of the log", r.wal.Size(), int64(r.cfg.Limits.DiskMB*1e6))
+}
+
+// held is how many connections there are.
+func (s *clients) held() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// held is how many connections there are, idle or not.
+func (p *pool) held() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 	"os"
 	"slices"
@@ -17,6 +18,7 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/clock"
+	"onyxroad.dev/onyxroad/internal/invariant"
 	"onyxroad.dev/onyxroad/policy"
 )
 
@@ -45,6 +47,7 @@
 	*pool
 	reports []string
 	sent    func(*call) // told of each call that is written whole; may be nil
+	guard   *invariant.Guard
 }
 
 // call is one request to a host, with one message or several.
@@ -78,7 +81,9 @@
 	took    time.Duration // from when the request was written
 }
 
-func newHosts(cfg Config) *hosts { return &hosts{pool: newPool(cfg), reports: cfg.Reports} }
+func newHosts(cfg Config) *hosts {
+	return &hosts{pool: newPool(cfg), reports: cfg.Reports, guard: invariant.New(slog.Default())}
+}
 
 // do makes a call and tells the end of each of its attempts, in their order. clear is asked once more before
 // the request is written where a new connection had to come up first.
@@ -110,6 +115,9 @@
 	// A call is given up by closing its connection: no answer to it is read any more.
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(longAgo) })
 	began := clock.Now()
+	for _, a := range c.attempts {
+		h.guard.InTime(a.m.Trace, c.route, a.m.Deadline.Sub(began))
+	}
 	err := writeRequest(conn, req)
 	written := err == nil
 	if written && h.sent != nil {
--- a/internal/relay/job.go
+++ b/internal/relay/job.go
@@ -92,6 +92,7 @@
 
 // expire tells the ends of messages whose time is up on their way.
 func (o *overflow) expire(all []*message, now time.Time) {
+	var ended []*message
 	for _, m := range all {
 		if m.ended || m.dropped || now.Before(m.Deadline.Add(-dueAhead)) {
 			continue
@@ -99,9 +100,10 @@
 		m.ended = true
 		o.relay.figures.ended(m, outOfTime)
 		o.relay.wal.Decide(m.Message, outOfTime)
-		o.relay.notify(m)
+		ended = append(ended, m)
 		o.ended++
 	}
+	o.relay.tellEnds(ended)
 }
 
 // nextJob is what is to be done at the store; nil if nothing is.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/clock"
+	"onyxroad.dev/onyxroad/internal/invariant"
 	"onyxroad.dev/onyxroad/internal/membership"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
@@ -77,11 +78,12 @@
 	out   int  // attempts without an outcome
 	ended bool // the module has done with it
 
-	told   bool     // its outcome is counted, or need not be
-	fresh  bool     // taken on in this step, which may yet refuse it
-	seq    uint64   // the write in the log that took it on
-	shared bool     // others were told that it is taken on, too: it cannot be withdrawn
-	next   *message // withdrawn and handed in once more: what it goes on as
+	told     bool     // its outcome is counted, or need not be
+	notified bool     // its end was told to the platform
+	fresh    bool     // taken on in this step, which may yet refuse it
+	seq      uint64   // the write in the log that took it on
+	shared   bool     // others were told that it is taken on, too: it cannot be withdrawn
+	next     *message // withdrawn and handed in once more: what it goes on as
 
 	// Where a backlog is kept; see overflow and window.
 	cell      *cell // nil: the module does not have it
@@ -108,6 +110,8 @@
 	ending  atomic.Bool // SIGTERM came
 	calls   sync.WaitGroup
 	byHand  *exclusions
+	guard   *invariant.Guard
+	begun   time.Time // since when the process could have been ready
 	fleet   fleet
 	handed  chan struct{} // closed when the relay has handed over
 
@@ -119,29 +123,30 @@
 	endAdmin func()
 
 	// Owned by the loop.
-	callCtx context.Context
-	started time.Time
-	sender  *policy.Sender
-	wal     *wal.Log
-	found   wal.Recovery // until it is taken up
-	msgs    map[uint32]*message
-	traces  map[string]*message
-	routes  map[string]target
-	cells   map[int]bool // destinations that the list has named
-	left    []*message   // withdrawn, may have run; by deadline, more or less
-	held    int          // messages that the module has not done with
-	out     int          // calls
-	lastID  uint32
-	flying  map[*call]struct{}  // calls out
-	lock    *os.File            // the log's; nil without it
-	heir    *link               // to the process that this one has handed over to
-	foreign map[outKey]*attempt // out at the process before
-	barred  map[string]bool     // endpoints out by hand, as the module has heard
-	wakeAt  time.Time           // zero: none asked for
-	later   []policy.Event      // for the next step
-	full    bool                // the log took no new work last
-	owed    *overflow           // nil: no backlog is kept
-	kept    []any               // came while the loop waited for a job, for the next step
+	callCtx      context.Context
+	started      time.Time
+	sender       *policy.Sender
+	wal          *wal.Log
+	found        wal.Recovery // until it is taken up
+	msgs         map[uint32]*message
+	traces       map[string]*message
+	routes       map[string]target
+	cells        map[int]bool // destinations that the list has named
+	left         []*message   // withdrawn, may have run; by deadline, more or less
+	held         int          // messages that the module has not done with
+	out          int          // calls
+	lastID       uint32
+	flying       map[*call]struct{}  // calls out
+	lock         *os.File            // the log's; nil without it
+	heir         *link               // to the process that this one has handed over to
+	foreign      map[outKey]*attempt // out at the process before
+	barred       map[string]bool     // endpoints out by hand, as the module has heard
+	outOfService outages             // endpoints that may get nothing new
+	wakeAt       time.Time           // zero: none asked for
+	later        []policy.Event      // for the next step
+	full         bool                // the log took no new work last
+	owed         *overflow           // nil: no backlog is kept
+	kept         []any               // came while the loop waited for a job, for the next step
 
 	promises []promise     // wait for the disk, oldest first
 	synced   chan struct{} // holds one: the disk has something more
@@ -177,7 +182,7 @@
 		byHand: newExclusions(log, cfg.StateDir), barred: map[string]bool{},
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
 		cells: map[int]bool{}, figures: newFigures(cfg.Classes), endAdmin: func() {},
-		synced: make(chan struct{}, 1),
+		synced: make(chan struct{}, 1), guard: invariant.New(log), begun: clock.Now(), outOfService: outages{},
 		flying: map[*call]struct{}{}, foreign: map[outKey]*attempt{}, memory: debug.SetMemoryLimit(-1),
 	}
 	r.hosts.sent = func(c *call) {
@@ -187,6 +192,7 @@
 	}
 	// Clients hold a third of the descriptors with their requests; more is for those that are slow to leave.
 	r.clients = newClients(log, cfg.Limits.Sockets*9/20, r.request)
+	r.clients.guard, r.hosts.guard = r.guard, r.guard
 	r.finals = newFinals(log, r.agent, func(ids []uint32) { r.post(confirmed{ids}) })
 	// Before the old process gives anything away: what can fail has failed by then.
 	if cfg.Admin != "" {
@@ -237,6 +243,7 @@
 
 	go r.clients.run(r.listener)
 	r.serving.Store(true)
+	r.guard.Ready(clock.Since(r.begun))
 	r.fleet.become(membership.Serving)
 	var joining sync.WaitGroup
 	joining.Go(func() { r.joinFleet(talk) })
@@ -342,6 +349,7 @@
 		r.recall()
 		evs = nil
 	}
+	var ended []*message
 	outs := map[uint32]*policy.Out{}
 	for _, o := range r.legacy.Out {
 		if !o.Cut {
@@ -366,13 +374,13 @@
 			r.left = append(r.left, m)
 		case w.Final != nil:
 			m.ended, m.told = true, true
-			r.notify(m)
+			r.notify(m, true)
 		case found.Damaged:
 			// What it has sent may be missing from the log: nothing can be promised.
 			m.ended = true
 			r.figures.ended(m, wal.Final{})
 			r.wal.Decide(w, wal.Final{})
-			r.notify(m)
+			ended = append(ended, m)
 		case r.owed.keeps(m):
 			r.held++
 			r.owed.enter(m)
@@ -389,6 +397,7 @@
 		}
 	}
 	r.legacy = estate{}
+	r.tellEnds(ended)
 	r.carryOut(r.sender.Step(r.now(), evs), nil)
 }
 
@@ -442,6 +451,7 @@
 		case <-gauges.C:
 			r.publish() // a skip may have run out
 			r.owed.tell()
+			r.checkBounds()
 			if r.heir == nil {
 				r.tend()
 				r.putDown()
@@ -509,6 +519,7 @@
 		e.List = append(e.List, entry)
 		if entry.Gone {
 			delete(r.routes, entry.Route)
+			r.outOfService.begin(entry.Route)
 			r.hosts.closeIdle(entry.Route)
 		} else {
 			if known, ok := r.routes[entry.Route]; ok && known.addr != addr {
@@ -521,6 +532,7 @@
 	if l.Full {
 		for id := range r.routes {
 			if _, ok := routes[id]; !ok {
+				r.outOfService.begin(id)
 				r.hosts.closeIdle(id)
 			}
 		}
@@ -534,6 +546,7 @@
 	for _, entry := range e.List {
 		ids = append(ids, entry.Route)
 	}
+	r.followOutages()
 	r.byHand.listed(ids, func(id string) bool { _, ok := r.routes[id]; return ok })
 	if len(r.routes) > 0 {
 		r.listed.Store(true)
@@ -555,6 +568,9 @@
 			evs = append(evs, policy.Event{Kind: policy.Included, Route: id})
 		}
 	}
-	r.barred = now
+	if len(now)+len(r.barred) > 0 {
+		r.barred = now
+		r.followOutages()
+	}
 	return evs
 }
--- a/internal/relay/transient.go
+++ b/internal/relay/transient.go
@@ -108,5 +108,6 @@
 			return err
 		}
 		sleep(ctx, lockPause)
+		r.begun = clock.Now() // it could not have been ready before
 	}
 }
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -319,6 +319,9 @@
 // Fill is the part of the room for new work that is taken.
 func (l *Log) Fill() float64 { return float64(l.bytes) / max(1, float64(l.share(liveShare))) }
 
+// Size is what the log takes on disk, in bytes.
+func (l *Log) Size() int64 { return l.keep.size() }
+
 // Owes tells whether m has no end yet.
 func (l *Log) Owes(m *Message) bool { return l.live[m.ID] != nil }
 
