Answer a request that was read with the one before it, whatever ends the connection

Cause: clients.reply ended a connection with an answer, and serve with its idle phase, without a look at what had been read behind the request. Change: neither ends it while something is there; the answer to that does. Result: TestARequestReadBehindAnotherIsAnswered passes, and the suite of relay.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -312,7 +312,10 @@
 		if _, err := c.r.Peek(1); err != nil || !s.enter(c, reading) {
 			return
 		}
-		if !s.request(c) || !s.enter(c, idle) {
+		if !s.request(c) {
+			return
+		}
+		if c.r.Buffered() == 0 && !s.enter(c, idle) { // else the next request has been read, and is answered
 			return
 		}
 	}
@@ -403,7 +406,7 @@
 	s.mu.Lock()
 	// Clients can hold only so many connections, too: where many are held, those that ask once and stay would keep
 	// the others from connecting, long before the table here is full.
-	last = last || s.ending || c.dismissed || len(s.conns) > s.roomy
+	last = last || c.r.Buffered() == 0 && (s.ending || c.dismissed || len(s.conns) > s.roomy)
 	s.mu.Unlock()
 	res := http.Response{StatusCode: a.status, ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Close: last}
 	if a.again > 0 {
