Log each change of a message's state with typed reasons, whole under its trace id

Cause: a message's way could be followed in no log; why one was refused, repeated or given up showed only in counts. Result: TestATraceIDGivesAMessagesWholeLife passes with -race.

--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net/http"
 	"slices"
 	"time"
@@ -36,6 +37,7 @@
 			}
 			r.done(m)
 			final := wal.Final{Deferred: a.Kind == policy.Refuse, Again: a.Delay}
+			r.changed(m, stateHeld, stateEnded, endReason(final), slog.Duration("left", clock.Until(m.Deadline)))
 			r.figures.ended(m, final)
 			if _, ok := answers[a.ID]; ok {
 				answers[a.ID] = finalAnswer(final)
@@ -133,6 +135,9 @@
 // launch makes a call, away from the loop.
 func (r *Relay) launch(c *call) {
 	r.checkSends(c)
+	for _, a := range c.attempts {
+		r.changed(a.m, stateHeld, stateOut, reasonSend, slog.String("endpoint", c.route), slog.Int("attempt", a.n))
+	}
 	r.out++
 	r.flying[c] = struct{}{}
 	for _, a := range c.attempts {
@@ -170,6 +175,7 @@
 func (r *Relay) notify(m *message, recorded bool) {
 	r.guard.Ending(m.Trace, m.notified, recorded, clock.Until(m.Deadline))
 	m.notified = true
+	r.changed(m, stateEnded, stateTold, reasonNotice, slog.Bool("recorded", recorded))
 	r.finals.add(newNotice(m.ID, m.Trace, *m.Final))
 }
 
--- /dev/null
+++ b/internal/relay/lifecycle_test.go
@@ -0,0 +1,61 @@
+package relay
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/policy"
+)
+
+// lockedBuffer is a log's text, which other goroutines write as well.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// One trace id gives a message's whole life: every line of it, each going on where the one before ended.
+func TestATraceIDGivesAMessagesWholeLife(t *testing.T) {
+	var out lockedBuffer
+	r := newTestRelay(t)
+	r.log, r.traced = slog.New(slog.NewJSONHandler(&out, &slog.HandlerOptions{Level: slog.LevelDebug})), true
+	for _, id := range []string{"other", "m1"} {
+		decide(r, newHandIn(id, 7, 5*time.Second))
+	}
+	m := r.traces["m1"]
+	settle(t, r, "its first call ends", func() bool { return m.out == 0 })
+	r.carryOut([]policy.Action{{Kind: policy.Fail, ID: m.ID}}, nil)
+	r.step([]any{confirmed{[]uint32{m.ID}}})
+	var life []string
+	last := string(stateNew)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	for line := range strings.Lines(out.text.String()) {
+		if !strings.Contains(line, `"trace":"m1"`) {
+			continue
+		}
+		var change struct{ From, To, Reason string }
+		if err := json.Unmarshal([]byte(line), &change); err != nil {
+			t.Fatal(err)
+		}
+		if change.From != last {
+			t.Errorf("from %s, after %s: %s", change.From, last, line)
+		}
+		last = change.To
+		life = append(life, change.Reason)
+	}
+	const first, end = "accepted send connect_failed ", " failed notice confirmed"
+	if got := strings.Join(life, " "); !strings.HasPrefix(got, first) || !strings.HasSuffix(got, end) {
+		t.Errorf("its life: %s", got)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -111,6 +111,7 @@
 	calls   sync.WaitGroup
 	byHand  *exclusions
 	guard   *invariant.Guard
+	traced  bool      // changes of messages' states are logged
 	begun   time.Time // since when the process could have been ready
 	fleet   fleet
 	handed  chan struct{} // closed when the relay has handed over
@@ -182,7 +183,7 @@
 		byHand: newExclusions(log, cfg.StateDir), barred: map[string]bool{},
 		msgs: map[uint32]*message{}, traces: map[string]*message{}, routes: map[string]target{},
 		cells: map[int]bool{}, figures: newFigures(cfg.Classes), endAdmin: func() {},
-		synced: make(chan struct{}, 1), guard: invariant.New(log), begun: clock.Now(), outOfService: outages{},
+		synced: make(chan struct{}, 1), guard: invariant.New(log), traced: log.Enabled(ctx, slog.LevelDebug), begun: clock.Now(), outOfService: outages{},
 		flying: map[*call]struct{}{}, foreign: map[outKey]*attempt{}, memory: debug.SetMemoryLimit(-1),
 	}
 	r.hosts.sent = func(c *call) {
@@ -358,6 +359,7 @@
 	}
 	for _, w := range found.Messages {
 		m := &message{Message: w, sends: w.Attempts}
+		r.changed(m, stateNew, stateHeld, reasonRecovered, slog.Int("attempts", w.Attempts), slog.Int("may_run", len(w.MayRun)))
 		r.msgs[m.ID], r.traces[m.Trace] = m, m
 		r.lastID = max(r.lastID, m.ID)
 		out := outs[m.ID]
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -87,6 +87,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	r.guard.OnViolation(func(text string) { t.Error(text) })
 	t.Cleanup(func() { r.hosts.close() })
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() { cancel(); r.calls.Wait() })
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"net/http"
 	"slices"
 	"time"
@@ -49,6 +50,7 @@
 				case m != nil && m.move != staying:
 					m.confirmed = true
 				case m != nil:
+					r.changed(m, stateTold, stateGone, reasonConfirmed)
 					r.wal.End(m.Message)
 					r.retire(m)
 				}
@@ -149,6 +151,7 @@
 			continue
 		case r.cfg.Settings.MaxHeld > 0 && r.held >= r.cfg.Settings.MaxHeld:
 			r.figures.of(in.m.Class).deferred.Add(1)
+			r.changed(&message{Message: in.m}, stateNew, stateGone, reasonNoRoom)
 			in.reply <- answer{status: http.StatusServiceUnavailable, again: policy.RetryAdvice}
 			continue
 		}
@@ -178,6 +181,7 @@
 	if err == nil {
 		for _, in := range waiting {
 			if in.as.Message == in.m {
+				r.changed(in.as, stateNew, stateHeld, reasonAccepted)
 				in.as.seq = r.wal.Written()
 			}
 		}
@@ -199,6 +203,7 @@
 		if m := in.as; m.Message == in.m {
 			r.held--
 			r.figures.turned(m.Class, turned)
+			r.changed(m, stateNew, stateGone, reasonLog, slog.Int("status", turned.status))
 			delete(r.msgs, m.ID)
 			delete(r.traces, m.Trace)
 		} else if m.seq > 0 {
@@ -249,6 +254,7 @@
 		r.owed.drop(m)
 		return evs
 	}
+	r.changed(m, stateHeld, stateGone, reasonWithdrawn)
 	r.done(m)
 	m.told = true // its client hands it in anew, and that one counts
 	r.letGo(m)
@@ -318,6 +324,14 @@
 		}
 		return evs
 	}
+	to := stateHeld
+	if ok {
+		to = stateDelivered
+	} else if res.gone {
+		to = stateGone
+	}
+	r.changed(m, stateOut, to, outcomeReasons[res.outcome], slog.String("endpoint", a.route), slog.Int("attempt", a.n),
+		slog.Duration("took", res.took), slog.Duration("wait", res.wait))
 	a.over = true
 	if a.timer != nil {
 		a.timer.Stop()
