Add the soak test: drawn troubles that overlap on real relays, with calls that fail

Cause: the testbed played a trouble at a time as its files name them, and none of a clock that steps or calls that fail. New kinds wall-step, calls, files and short are injected into builds with the tag testbed, whose guards end them. The judge excuses what is due while each connection that a relay makes fails. Connections that wait while accepting fails have their first request's time from then on.

--- a/cmd/testbed/main.go
+++ b/cmd/testbed/main.go
@@ -34,6 +34,7 @@
 	Breaks   breaksCmd     `cmd:"" help:"Check the judge: play builds that are broken on purpose, and see that each is caught."`
 	Recovery recoveryCmd   `cmd:"" help:"Measure one relay: what durability costs, and how long a start takes with how much in its log."`
 	Slope    slopeCmd      `cmd:"" help:"Measure how figures grow with a size, and prove the growth laws by predicting the largest size."`
+	Soak     soakCmd       `cmd:"" help:"Play drawn troubles that overlap in time on many relays, seed after seed, and shrink what breaks a rule."`
 	Capacity capacityCmd   `cmd:"" help:"Print the tables of docs/CAPACITY.md, worked out from the target and the slopes, or check that a page has them."`
 	Load     loadCmd       `cmd:"" help:"Check the clients: hand messages to a stand-in that answers at once, and tell how late the clients were."`
 	Faults   faultsCmd     `cmd:"" help:"List the kinds of fault that an experiment may name."`
--- a/cmd/testbed/run.go
+++ b/cmd/testbed/run.go
@@ -43,7 +43,7 @@
 			}
 			continue
 		}
-		program, revision, err := relayProgram(ctx, c.Build, c.Out, x.NeedsDisk())
+		program, revision, err := relayProgram(ctx, c.Build, c.Out, x.NeedsDisk() || x.NeedsFaults())
 		if err != nil {
 			return err
 		}
@@ -74,10 +74,10 @@
 	return nil
 }
 
-// relayProgram is the relay to play: one that is built, or the work as it stands. Where disks are to fail it has to write
-// down what it does to its own, and is built for that.
-func relayProgram(ctx context.Context, built, out string, disk bool) (program, revision string, err error) {
-	if built != "" && !disk {
+// relayProgram is the relay to play: one that is built, or the work as it stands. Where its disk or its calls are to fail it has
+// to be built for that.
+func relayProgram(ctx context.Context, built, out string, injected bool) (program, revision string, err error) {
+	if built != "" && !injected {
 		for _, path := range []string{filepath.Join(built, build.Relay), filepath.Join(built, "bin", build.Relay)} {
 			if _, err := os.Stat(path); err == nil {
 				path, err = filepath.Abs(path)
@@ -90,7 +90,7 @@
 	if err != nil {
 		return "", "", err
 	}
-	if disk {
+	if injected {
 		return build.Work(ctx, root, filepath.Join(out, "bin-disk"), "testbed")
 	}
 	return build.Work(ctx, root, filepath.Join(out, "bin"))
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -42,6 +42,10 @@
 	lingerFor  = 3 * time.Second
 	lingerMost = 128 << 20
 
+	// A connection that waited while accepting failed has the rest of requestFor to come with a request, and this at least.
+	requestLeast = 250 * time.Millisecond
+	stallOver    = 100 * time.Millisecond // after the last failure, what waited has been accepted
+
 	acceptPause = 10 * time.Millisecond // after an accept that failed
 
 	silentFor = 100 * time.Millisecond // after this a connection on which nothing came makes way first
@@ -96,6 +100,8 @@
 	ending  bool // answers end their connections
 	closed  bool // none is accepted any more
 
+	stalled, failedAt time.Time // since when accepting has failed, and when it last did; zero: it does not
+
 	guard         *invariant.Guard
 	failedAccepts rate.Sometimes // bounds what is logged of them
 }
@@ -117,6 +123,7 @@
 		case err != nil:
 			// A client that left at once, say, or a machine that is short of what this process can't give back: no reason to
 			// close a connection whose request may be on its way.
+			s.stall(true)
 			s.failedAccepts.Do(func() { s.log.Warn("accept", "err", err) })
 			if errors.Is(err, syscall.EMFILE) {
 				s.makeRoom(true)
@@ -124,6 +131,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
+		s.stall(false)
 		s.makeRoom(false)
 		c := &client{conn: newConn(nc)}
 		if !s.admit(c) {
@@ -142,11 +150,38 @@
 		return false
 	}
 	s.conns[c] = struct{}{}
-	c.since = clock.Now()
-	c.SetReadDeadline(c.since.Add(requestFor))
+	now := clock.Now()
+	c.since = now
+	if !s.stalled.IsZero() {
+		c.since = s.stalled // it may have waited since then
+	}
+	c.SetReadDeadline(later(c.since.Add(requestFor), now.Add(requestLeast)))
 	return true
 }
 
+// stall notes whether accepting fails. Connections that waited meanwhile are owed an answer or a close from their connecting on.
+func (s *clients) stall(failed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := clock.Now()
+	switch {
+	case failed && s.stalled.IsZero():
+		s.stalled = now
+	case !failed && now.Sub(s.failedAt) > stallOver:
+		s.stalled = time.Time{}
+	}
+	if failed {
+		s.failedAt = now
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // makeRoom waits until another connection may be held, if need be by having one end; forced, it has one end anyway.
 func (s *clients) makeRoom(forced bool) {
 	s.mu.Lock()
@@ -232,7 +267,7 @@
 		if was != silent { // the time of a first request runs from the connecting
 			from = c.since
 		}
-		c.SetReadDeadline(from.Add(requestFor))
+		c.SetReadDeadline(later(from.Add(requestFor), c.since.Add(requestLeast)))
 	case idle:
 		s.room.Signal()
 		if s.ending || c.dismissed {
--- a/internal/testbed/audit/audit.go
+++ b/internal/testbed/audit/audit.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/testbed/ledger"
@@ -120,7 +121,7 @@
 // excused is until when a relay need not have told anything that was due at a moment: while it restarts or stands still,
 // and for a while after. gone is whether what it held is gone with its machine.
 func (j *judge) excused(relay int, since, at time.Duration) (until time.Duration, gone bool) {
-	until = at
+	until = j.reachable(relay, at)
 	lives := j.lives[relay]
 	for i, x := range lives {
 		for _, p := range x.Paused {
@@ -152,6 +153,24 @@
 	return until, false
 }
 
+// reachable is when a relay can tell what was due at a moment: while each of its connections fails it can tell nobody.
+func (j *judge) reachable(relay int, at time.Duration) time.Duration {
+	for _, f := range j.plan.Faults {
+		from, to := j.offset+f.At, j.offset+f.At+f.For+finalSlack
+		if f.Kind == "calls" && slices.Contains(f.Relays, relay) && from <= at && at < to && silences(f.Rules) {
+			at = to
+		}
+	}
+	return at
+}
+
+// silences tells whether rules have every connection that a relay makes fail.
+func silences(rules []string) bool {
+	return slices.ContainsFunc(rules, func(rule string) bool {
+		return strings.HasSuffix(rule, " 1") && (strings.HasPrefix(rule, "connect ") || strings.HasPrefix(rule, "socket "))
+	})
+}
+
 // finals checks that each message that was taken on has one final answer, in time.
 func (j *judge) finals() {
 	for _, h := range j.l.HandIns {
--- a/internal/testbed/plan/faults.go
+++ b/internal/testbed/plan/faults.go
@@ -21,7 +21,8 @@
 
 // faults draws each fault's moment, targets and size.
 func (p *Plan) faults(rng *rand.Rand) {
-	for _, x := range p.Experiment.Faults {
+	for i, x := range p.Experiment.Faults {
+		from := len(p.Faults)
 		times := 1
 		if n := x.Times.Draw(rng); n > 0 {
 			times = max(1, int(n*float64(p.Length)/float64(p.Experiment.Length.D())+0.5))
@@ -29,6 +30,9 @@
 		for range times {
 			p.fault(rng, x)
 		}
+		for k := range p.Faults[from:] {
+			p.Faults[from+k].Origin = i
+		}
 	}
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 }
@@ -44,11 +48,12 @@
 		f.Building = rng.IntN(len(p.Buildings))
 	}
 	switch x.Kind {
-	case "power", "disk-full", "disk-sick", "disk-slow", "kill", "term", "pause", "replace", "starve", "hostile", "move":
+	case "power", "disk-full", "disk-sick", "disk-slow", "kill", "term", "pause", "replace", "starve", "hostile", "move", "wall-step", "calls", "files", "short":
 		if share == 0 {
 			share = 1
 		}
 		f.Relays = p.strikeRelays(rng, share, f.Building)
+		f.Rules = injectedRules(rng, x.Kind)
 		if x.Kind == "kill" {
 			for _, r := range f.Relays {
 				if rng.Float64() < f.Size {
@@ -78,6 +83,52 @@
 	p.Faults = append(p.Faults, f)
 }
 
+// The calls that may fail, and how.
+var (
+	socketCalls = []string{"accept", "accept", "connect", "socket", "read", "send", "listen"}
+	socketErrs  = map[string][]string{
+		"accept": {"ECONNABORTED", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO"}, "socket": {"ENFILE", "ENOBUFS", "ENOMEM"},
+		"connect": {"EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS", "ECONNABORTED", "ETIMEDOUT", "EHOSTUNREACH"},
+		"listen":  {"EADDRNOTAVAIL", "ENOBUFS"}, "read": {"ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET"},
+		"send": {"ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET"},
+	}
+	fileCalls = []string{"write", "write", "write", "open", "truncate", "rename", "remove", "read", "names"}
+	fileErrs  = []string{"EIO", "ENOSPC"}
+	reaches   = []string{"", "part", "all"}
+	wallSteps = []int{-3600, -5, 5, 3600}
+	shortMost = []int{1, 7, 64}
+)
+
+// every is of how many calls one fails. A broken connection is rare, or nothing would get through.
+func every(rng *rand.Rand, call string) int {
+	if call == "read" || call == "send" {
+		return pick(rng, []int{20, 60})
+	}
+	return pick(rng, []int{1, 1, 3, 9})
+}
+
+func pick[T any](rng *rand.Rand, of []T) T { return of[rng.IntN(len(of))] }
+
+// injectedRules draws what is injected into relays; nothing for other kinds of fault.
+func injectedRules(rng *rand.Rand, kind string) []string {
+	switch kind {
+	case "wall-step":
+		return []string{fmt.Sprintf("wall %d", pick(rng, wallSteps))}
+	case "short":
+		return []string{fmt.Sprintf("short %d", pick(rng, shortMost))}
+	case "calls":
+		call := pick(rng, socketCalls)
+		return []string{fmt.Sprintf("%s %s %d", call, pick(rng, socketErrs[call]), every(rng, call))}
+	case "files":
+		var rules []string
+		for range 1 + rng.IntN(2) { // and what cleans up after it
+			rules = append(rules, fmt.Sprintf("%s %s %d %s", pick(rng, fileCalls), pick(rng, fileErrs), every(rng, ""), pick(rng, reaches)))
+		}
+		return rules
+	}
+	return nil
+}
+
 // strikeRelays draws a share of the relays, one at least.
 func (p *Plan) strikeRelays(rng *rand.Rand, share float64, building int) []int {
 	var of []int
--- a/internal/testbed/plan/plan.go
+++ b/internal/testbed/plan/plan.go
@@ -111,8 +111,10 @@
 	Relays    []int
 	Emptied   []int // of Relays: those that come back with an empty folder
 	Partners  []int
-	Endpoints []int // replaced
-	Building  int   // -1: none
+	Endpoints []int    // replaced
+	Building  int      // -1: none
+	Rules     []string // of package faultfile, for what is injected into the relays
+	Origin    int      // its place among the experiment's faults
 }
 
 // Hostile is one peer that speaks no proper request.
--- a/internal/testbed/process/fleet.go
+++ b/internal/testbed/process/fleet.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/faultfile"
 	"onyxroad.dev/onyxroad/internal/testbed/ledger"
 	"onyxroad.dev/onyxroad/internal/testbed/network"
 	"onyxroad.dev/onyxroad/internal/testbed/plan"
@@ -62,6 +63,7 @@
 	image map[string][]byte // of its state folder when the last one began, on the testbed's disk
 	// and of its backlog's; nil without one
 	backlog map[string][]byte
+	faults  faults
 	now     []*process // that run; two while one takes the other's place
 	alive   bool       // clients may come: its process is ready
 }
@@ -168,6 +170,9 @@
 	p.cmd.Env = []string{"ROUTER_NAME=" + f.plan.Relays[r].Name, "ROUTER_LISTEN=" + f.ports.Relay(r), "ROUTER_DISCOVERY=" + f.platform.Agent(r),
 		"ROUTER_STATE=" + state, "ROUTER_CONFIG=" + f.configPath(r), "ROUTER_ADMIN_ADDR=" + p.admin, "TMPDIR=" + temp}
 	p.cmd.Env = append(p.cmd.Env, own...)
+	if f.plan.Experiment.NeedsFaults() {
+		p.cmd.Env = append(p.cmd.Env, faultfile.Env+"="+f.faultsPath(r))
+	}
 	p.life = &ledger.Life{Relay: r, Start: f.book.Now(), Ready: ledger.Never, Asked: ledger.Never, End: ledger.Never, Emptied: emptied,
 		Replaces: beside}
 	if err := f.start.Start(p.cmd); err != nil {
@@ -187,7 +192,7 @@
 func (f *Fleet) reap(r int, p *process) {
 	p.cmd.Wait()
 	p.log.Close()
-	f.book.Do(func() { p.life.End, p.life.Exit = f.book.Now(), p.cmd.ProcessState.String() })
+	f.book.Do(func() { p.life.End, p.life.Exit = f.book.Now(), p.cmd.ProcessState.String()+lastWords(p.log.Name()) })
 	f.mu.Lock()
 	x := f.relays[r]
 	for i := range x.now {
@@ -273,6 +278,8 @@
 		do = func(r int) error { return f.starve(r, x.For) }
 	case "move":
 		do = f.move
+	case "wall-step", "calls", "files", "short":
+		do = func(r int) error { return f.inject(r, x) }
 	default:
 		return false
 	}
@@ -395,6 +402,20 @@
 	f.start.End()
 }
 
+// lastWords are why a process ended by a panic; nothing if it did not.
+func lastWords(path string) string {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return ""
+	}
+	for line := range strings.Lines(string(data)) {
+		if strings.HasPrefix(line, "panic: ") || strings.HasPrefix(line, "fatal error: ") || strings.Contains(line, "stopped") {
+			return ": " + strings.TrimSpace(line)
+		}
+	}
+	return ""
+}
+
 // lastLine is the end of a log, for a message.
 func lastLine(path string) string {
 	data, err := os.ReadFile(path)
--- a/internal/testbed/run/run.go
+++ b/internal/testbed/run/run.go
@@ -11,6 +11,7 @@
 	"math"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +50,7 @@
 	Revision   string
 	Out        string    // folder for the results; made if it is not there
 	Progress   io.Writer // a line a second; nil: none
+	Without    []int     // places of the experiment's faults that are left out
 }
 
 // Bound is a bound with its value in a run.
@@ -87,6 +89,7 @@
 // Run plays an experiment. With ErrInvalid there is a result, too, whose figures are not to be used.
 func Run(ctx context.Context, o Options) (*Result, error) {
 	p := plan.Draw(o.Experiment, o.Seed, o.Quick)
+	p.Faults = slices.DeleteFunc(p.Faults, func(f plan.Fault) bool { return slices.Contains(o.Without, f.Origin) })
 	if err := os.MkdirAll(o.Out, 0o700); err != nil {
 		return nil, fmt.Errorf("run: %w", err)
 	}
