--- a/cmd/testbed/soak.go
+++ b/cmd/testbed/soak.go
@@ -16,8 +16,8 @@
 )
 
 type soakCmd struct {
-	Seed      uint64        `default:"1" xor:"seeds" help:"The one seed to play."`
-	Seeds     string        `xor:"seeds" help:"A range of seeds, A..B."`
+	Seed      uint64        `default:"1" help:"The one seed to play, if no range is given."`
+	Seeds     string        `help:"A range of seeds, A..B."`
 	Minutes   time.Duration `help:"No play begins after so long, 20m say."`
 	Processes int           `help:"Relays in a play; none: 24 to 48, by the seed."`
 	Parallel  int           `default:"1" help:"Plays at once."`
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -19,7 +19,7 @@
 	Socket  Call = "socket"
 	Accept  Call = "accept"
 	Connect Call = "connect"
-	Read    Call = "read"
+	Read    Call = "recv"
 	Write   Call = "send"
 	Listen  Call = "listen"
 )
--- a/internal/testbed/plan/faults.go
+++ b/internal/testbed/plan/faults.go
@@ -85,11 +85,11 @@
 
 // The calls that may fail, and how.
 var (
-	socketCalls = []string{"accept", "accept", "connect", "socket", "read", "send", "listen"}
+	socketCalls = []string{"accept", "accept", "connect", "socket", "recv", "send", "listen"}
 	socketErrs  = map[string][]string{
 		"accept": {"ECONNABORTED", "ENFILE", "ENOBUFS", "ENOMEM", "EPROTO"}, "socket": {"ENFILE", "ENOBUFS", "ENOMEM"},
 		"connect": {"EADDRNOTAVAIL", "ENETUNREACH", "ENOBUFS", "ECONNABORTED", "ETIMEDOUT", "EHOSTUNREACH"},
-		"listen":  {"EADDRNOTAVAIL", "ENOBUFS"}, "read": {"ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET"},
+		"listen":  {"EADDRNOTAVAIL", "ENOBUFS"}, "recv": {"ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET"},
 		"send": {"ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET"},
 	}
 	fileCalls = []string{"write", "write", "write", "open", "truncate", "rename", "remove", "read", "names"}
@@ -101,7 +101,7 @@
 
 // every is of how many calls one fails. A broken connection is rare, or nothing would get through.
 func every(rng *rand.Rand, call string) int {
-	if call == "read" || call == "send" {
+	if call == "recv" || call == "send" {
 		return pick(rng, []int{20, 60})
 	}
 	return pick(rng, []int{1, 1, 3, 9})
