--- a/internal/relay/transient_test.go
+++ b/internal/relay/transient_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -236,3 +238,47 @@
 		t.Errorf("recorded %+v", m.MayRun)
 	}
 }
+
+// Connections that fail for some seconds hold notices back no longer than that: one is late 300 ms after its message's time.
+func TestNoticesLeaveAsSoonAsConnectionsComeUp(t *testing.T) {
+	const tries = 8
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		io.Copy(io.Discard, req.Body)
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	defer s.Close()
+	failed := make(chan time.Time, tries)
+	defer sockets.SetFaults(tellingFaults{newFailing(syscall.ENETUNREACH, tries, sockets.Connect), failed})()
+	taken := make(chan []uint32, 1)
+	f := newFinals(quiet(), newAgent(addrOf(s)), func(ids []uint32) { taken <- ids })
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	f.add(notice{id: 1, ID: "a", Status: "undeliverable"})
+	go f.run(ctx)
+	select {
+	case <-taken:
+	case <-time.After(2 * patience):
+		t.Fatal("never taken")
+	}
+	var last time.Time
+	for range tries {
+		last = <-failed
+	}
+	if late := time.Since(last); late > 250*time.Millisecond {
+		t.Errorf("taken %v after the last connection failed", late)
+	}
+}
+
+// tellingFaults tells when calls failed.
+type tellingFaults struct {
+	*failing
+	failed chan time.Time
+}
+
+func (f tellingFaults) Fail(call sockets.Call) syscall.Errno {
+	errno := f.failing.Fail(call)
+	if errno != 0 {
+		f.failed <- time.Now()
+	}
+	return errno
+}
