Send notices within 100 ms of when the platform can be reached again

Change: 100 ms at most. The platform is an agent on the same machine, which a request in 100 ms does not burden. Result: TestNoticesLeaveAsSoonAsConnectionsComeUp passes.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -26,6 +26,7 @@
 	// must not take all of that from those that wait behind it. Where answers are slow, later tries wait longer.
 	noticeFirst  = 100 * time.Millisecond
 	noticeMost   = time.Second
+	noticePause  = 100 * time.Millisecond // at most, between a request that failed at once and the next
 	fetchTimeout = time.Second
 	// Turned away calls are work for discovery too: a fleet that comes again at once keeps it from serving anyone.
 	awayFirst   = time.Second
@@ -358,7 +359,7 @@
 				return
 			case <-time.After(pause):
 			}
-			pause = min(retryMost, 2*pause)
+			pause = min(noticePause, 2*pause)
 			continue
 		}
 		pause, wait = retryFirst, noticeFirst
