--- a/cmd/testbed/recovery.go
+++ b/cmd/testbed/recovery.go
@@ -105,10 +105,10 @@
 
 // lone is one relay with an endpoint that answers at once.
 type lone struct {
-	dir, addr, endpoint string
-	first               chan time.Time // the first call at the endpoint
-	server              *httptest.Server
-	cmd                 *exec.Cmd
+	dir, addr string
+	first     chan time.Time // the first call at the endpoint
+	server    *httptest.Server
+	cmd       *exec.Cmd
 }
 
 func newLone(diskMB float64) (*lone, error) {
--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -539,7 +539,7 @@
 	case m.Class < 0:
 		return nil, 0, fmt.Errorf("unknown class %q", class)
 	case req.Header.Get("X-Qos") != class:
-		return nil, 0, errors.New("X-Qos and the path differ")
+		return nil, 0, errors.New("path and X-Qos differ")
 	case m.Trace == "" || max(len(m.Trace), len(m.Key), len(m.Order)) > idMost:
 		return nil, 0, errors.New("no X-Trace-Id, or an id or key too long")
 	case len(req.Header["X-Trace-Id"]) > 1 || len(req.Header["Idempotency-Key"]) > 1:
@@ -573,5 +573,5 @@
 			return n, nil
 		}
 	}
-	return 0, errors.New("Envelope names no dest")
+	return 0, errors.New("no dest in the Envelope")
 }
--- a/internal/testbed/duties/fleet.go
+++ b/internal/testbed/duties/fleet.go
@@ -48,11 +48,10 @@
 	place int
 	home  string
 
-	mu      sync.Mutex // held over a whole restart
-	cmd     *exec.Cmd
-	ended   chan struct{}
-	count   int
-	stopped bool
+	mu    sync.Mutex // held over a whole restart
+	cmd   *exec.Cmd
+	ended chan struct{}
+	count int
 }
 
 // fleet is one fleet of stewards, workers and receivers, with the network between them.
--- a/internal/testbed/scale/fleetslope/members.go
+++ b/internal/testbed/scale/fleetslope/members.go
@@ -216,14 +216,6 @@
 	return sum
 }
 
-// told counts the views that were told.
-func (f *members) told() (sum int64) {
-	for _, h := range f.all {
-		sum += h.told.Load()
-	}
-	return sum
-}
-
 // load is what one member costs, the mean over a fleet's: in the mean of a time, and in that time's peak second.
 type load struct{ cores, bytes, peakCores, peakBytes float64 }
 
--- a/internal/testbed/scale/relayslope/platform.go
+++ b/internal/testbed/scale/relayslope/platform.go
@@ -22,14 +22,6 @@
 // than the messages' time, which would have them refused.
 const toldWait = 2 * time.Hour
 
-// down is how destinations that take none are down.
-type down int
-
-const (
-	told    down = iota // calls are turned away with a wait of toldWait: each destination is tried once
-	refused             // connections are refused: each destination is tried again and again
-)
-
 // entry is one entry of discovery's list.
 type entry struct {
 	ID     string  `json:"id"`
