Hold a message that an endpoint told is over against no relay; keep logs where a rule breaks

Change: the judge takes 410 as the protocol does, that nothing more is owed. Relays in the soak test log messages' lives, and a play that breaks a rule keeps its logs.

--- a/internal/testbed/audit/audit.go
+++ b/internal/testbed/audit/audit.go
@@ -153,6 +153,24 @@
 	return until, false
 }
 
+// over is when an endpoint told that a message is over, after which nothing more is owed; Never if none did.
+func over(calls []*ledger.Call, trace string) time.Duration {
+	for _, c := range calls {
+		if c.Written != ledger.Never && (c.Status == 410 || state(c, trace) == "gone") {
+			return c.Written
+		}
+	}
+	return ledger.Never
+}
+
+// earlier is the earlier of two times, of which either may never have come.
+func earlier(a, b time.Duration) time.Duration {
+	if a == ledger.Never || b != ledger.Never && b < a {
+		return b
+	}
+	return a
+}
+
 // reachable is when a relay can tell what was due at a moment: while each of its connections fails it can tell nobody.
 func (j *judge) reachable(relay int, at time.Duration) time.Duration {
 	for _, f := range j.plan.Faults {
@@ -192,7 +210,7 @@
 			continue
 		}
 		calls, notices := j.calls[h.Trace], j.notices[h.Trace]
-		at := delivered(calls, h.Trace)
+		at := earlier(delivered(calls, h.Trace), over(calls, h.Trace))
 		if len(notices) > 0 && (at == ledger.Never || notices[0].At < at) {
 			at = notices[0].At
 		}
--- a/internal/testbed/experiment/experiment.go
+++ b/internal/testbed/experiment/experiment.go
@@ -67,6 +67,7 @@
 	State       string   `toml:"state"`      // durability of a state folder in segments, "process" or "power"; none: in one file
 	Members     bool     `toml:"members"`    // relays are members of their fleet
 	Settle      Duration `toml:"settle"`     // from when all are ready to the first message; 300 ms at least
+	Debug       bool     `toml:"debug"`      // relays log each change of a message's state; the logs are kept where a rule is broken
 	Stewards    int      `toml:"stewards"`   // so many stewards, at which members may hold duties; none: no duties
 	Loners      int      `toml:"loners"`     // but for so many, beside which what a member costs is measured
 	SyncMS      Range    `toml:"sync_ms"`    // what a sync takes, on the testbed's disk
--- a/internal/testbed/process/disk.go
+++ b/internal/testbed/process/disk.go
@@ -25,11 +25,14 @@
 func (f *Fleet) own(r int, state string) ([]string, error) {
 	x := f.plan.Experiment
 	member := x.Fleet.Members && r < f.plan.Members()
-	if x.Fleet.State == "" && !member {
+	if x.Fleet.State == "" && !member && !x.Fleet.Debug {
 		return nil, nil
 	}
 	path := filepath.Join(f.dir, f.plan.Relays[r].Name, "settings.toml")
 	text := "log_format = \"json\"\n"
+	if x.Fleet.Debug {
+		text += "log_level = \"debug\"\n"
+	}
 	if x.Fleet.State != "" {
 		text += fmt.Sprintf("[state]\ndurability = %q\nmemories = %v\n", x.Fleet.State, x.Fleet.Memories)
 	}
--- a/internal/testbed/process/fleet.go
+++ b/internal/testbed/process/fleet.go
@@ -383,6 +383,29 @@
 	return nil
 }
 
+// KeepLogs copies the processes' logs into a folder, which is emptied first.
+func (f *Fleet) KeepLogs(dir string) error {
+	if err := os.RemoveAll(dir); err != nil {
+		return fmt.Errorf("process: keep logs: %w", err)
+	}
+	for _, r := range f.plan.Relays {
+		logs, err := filepath.Glob(filepath.Join(f.dir, r.Name, "log.*"))
+		if err != nil {
+			return fmt.Errorf("process: keep logs: %w", err)
+		}
+		for _, path := range logs {
+			data, err := os.ReadFile(path)
+			if err == nil {
+				err = errors.Join(os.MkdirAll(dir, 0o700), os.WriteFile(filepath.Join(dir, r.Name+"-"+filepath.Base(path)), data, 0o600))
+			}
+			if err != nil {
+				return fmt.Errorf("process: keep logs: %w", err)
+			}
+		}
+	}
+	return nil
+}
+
 // Close ends everything that was started.
 func (f *Fleet) Close() { f.closed.Do(f.close) }
 
--- a/internal/testbed/run/run.go
+++ b/internal/testbed/run/run.go
@@ -295,6 +295,11 @@
 	if late := c.load.Lateness(99); late > latenessMost {
 		r.Invalid = fmt.Sprintf("the testbed's own clients were %v late at the 99th percentile, over %v: the machine was too loaded", late, latenessMost)
 	}
+	if len(breaches) > 0 && c.plan.Experiment.Fleet.Debug {
+		if err := c.fleet.KeepLogs(filepath.Join(c.o.Out, "logs")); err != nil {
+			return nil, err
+		}
+	}
 	if err := writeJSON(filepath.Join(c.o.Out, "series.json"), c.series(fates)); err != nil {
 		return nil, err
 	}
--- a/internal/testbed/soak/soak.go
+++ b/internal/testbed/soak/soak.go
@@ -66,6 +66,7 @@
 	x.Length, x.Quick = experiment.Duration(length), experiment.Duration(length)
 	x.Fleet.Relays = experiment.Of(float64(relays), float64(relays))
 	x.Fleet.QuickRelays = x.Fleet.Relays
+	x.Fleet.Debug = true
 	x.Fleet.State = []string{"", "", "", "process", "power"}[rng.IntN(5)]
 	x.Load.Hostile, x.Load.Leaves, x.Load.HeavyBody = experiment.Of(1, 6), experiment.Of(0, 0.03), experiment.Of(0, 0.03)
 	x.Partners.Garbled = experiment.Of(0, 0.01)
