Look at what a list changes alone for the guard of drains, and hand over no set that is not kept

Cause: the guard walked all routes with each change of the list, and with each step while an endpoint was out by hand; a hand-over would have passed on an older set of exclusions where the disk had failed. Change: the entries of a change alone; a hand-over waits until the set is kept. Releases are drawn in the soak test, too.

--- a/internal/relay/guards.go
+++ b/internal/relay/guards.go
@@ -62,18 +62,19 @@
 	return 0
 }
 
-// follow brings the outages up to date with the list and what operators have taken out.
-func (r *Relay) followOutages() {
-	for route, t := range r.routes {
-		if t.InService && !r.barred[route] {
-			delete(r.outOfService, route)
-		} else {
-			r.outOfService.begin(route)
-		}
+// followOutage brings one endpoint up to date with the list and with what operators have taken out.
+func (r *Relay) followOutage(route string) {
+	if t, listed := r.routes[route]; listed && t.InService && !r.barred[route] {
+		delete(r.outOfService, route)
+		return
+	}
+	r.outOfService.begin(route)
+	if len(r.outOfService) <= seenMost {
+		return
 	}
-	for route := range r.outOfService {
-		if _, listed := r.routes[route]; !listed && len(r.outOfService) > seenMost {
-			delete(r.outOfService, route)
+	for old := range r.outOfService { // long gone, as good as all of them
+		if _, listed := r.routes[old]; !listed {
+			delete(r.outOfService, old)
 		}
 	}
 }
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -213,7 +213,7 @@
 	began := clock.Now()
 	r.byHand.mu.Lock() // no call is lost between the two
 	defer r.byHand.mu.Unlock()
-	err := r.wal.Flush()
+	err := errors.Join(r.wal.Flush(), r.byHand.keep())
 	if err == nil && !(r.settle(linkFor/2) && r.owed.wait(linkFor/2)) {
 		err = errors.New("the disk is behind")
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -508,6 +508,7 @@
 		e.Kind = policy.ListWhole
 	}
 	routes := map[string]target{}
+	var gone []string
 	for _, raw := range l.Entries {
 		entry, addr, err := r.cfg.listing(raw)
 		if err != nil {
@@ -521,7 +522,6 @@
 		e.List = append(e.List, entry)
 		if entry.Gone {
 			delete(r.routes, entry.Route)
-			r.outOfService.begin(entry.Route)
 			r.hosts.closeIdle(entry.Route)
 		} else {
 			if known, ok := r.routes[entry.Route]; ok && known.addr != addr {
@@ -534,7 +534,7 @@
 	if l.Full {
 		for id := range r.routes {
 			if _, ok := routes[id]; !ok {
-				r.outOfService.begin(id)
+				gone = append(gone, id)
 				r.hosts.closeIdle(id)
 			}
 		}
@@ -548,7 +548,9 @@
 	for _, entry := range e.List {
 		ids = append(ids, entry.Route)
 	}
-	r.followOutages()
+	for _, id := range slices.Concat(ids, gone) {
+		r.followOutage(id)
+	}
 	r.byHand.listed(ids, func(id string) bool { _, ok := r.routes[id]; return ok })
 	if len(r.routes) > 0 {
 		r.listed.Store(true)
@@ -570,9 +572,13 @@
 			evs = append(evs, policy.Event{Kind: policy.Included, Route: id})
 		}
 	}
-	if len(now)+len(r.barred) > 0 {
-		r.barred = now
-		r.followOutages()
+	before := r.barred
+	if r.barred = now; !maps.Equal(now, before) {
+		for _, set := range []map[string]bool{before, now} {
+			for id := range set {
+				r.followOutage(id)
+			}
+		}
 	}
 	return evs
 }
--- a/internal/relay/transient.go
+++ b/internal/relay/transient.go
@@ -29,7 +29,7 @@
 // passing are errors that may pass by themselves.
 var passing = []syscall.Errno{
 	syscall.EAGAIN, syscall.EINTR, syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.ENOBUFS,
-	syscall.EIO, syscall.ENOSPC, syscall.EDQUOT, syscall.EROFS,
+	syscall.EIO, syscall.ENOSPC, syscall.EDQUOT, syscall.EROFS, syscall.ENOLCK,
 	syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.ECONNABORTED, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ENETDOWN,
 	syscall.ETIMEDOUT, syscall.EPROTO,
 }
--- a/internal/testbed/soak/soak.go
+++ b/internal/testbed/soak/soak.go
@@ -41,6 +41,7 @@
 	{Kind: "down", Share: experiment.Of(0.2, 0.5), For: spans(500, 4000)},
 	{Kind: "errors", Share: experiment.Of(0.2, 0.6), For: spans(1000, 4000), Size: experiment.Of(0.6, 1)},
 	{Kind: "slow", Share: experiment.Of(0.2, 0.6), For: spans(1000, 4000), Size: experiment.Of(3, 8)},
+	{Kind: "release", Share: experiment.Of(0.1, 0.4), For: spans(500, 4000)},
 	{Kind: "limits", Share: experiment.Of(0.3, 0.7), For: spans(2000, 4000), Size: experiment.Of(0.4, 0.7)},
 	{Kind: "cut", For: spans(500, 3000)},
 	{Kind: "one-way", For: spans(500, 3000)},
