--- a/cmd/testbed/soak.go
+++ b/cmd/testbed/soak.go
@@ -24,6 +24,7 @@
 	Quick     bool          `help:"One play on 24 relays, within 60 s."`
 	Without   []int         `help:"Places of troubles that are left out."`
 	Shrink    bool          `help:"Play a seed that breaks a rule again with fewer troubles, until none can go."`
+	Patch     string        `type:"existingfile" help:"Check the soak test: play HEAD with this patch, which breaks it on purpose, until a seed catches it."`
 	Build     string        `type:"existingdir" help:"Folder with a relay that was built with the tag testbed."`
 	Out       string        `default:"results" help:"Folder for the results."`
 }
@@ -38,6 +39,9 @@
 	if c.Quick && o.Relays == 0 {
 		o.Relays = 24
 	}
+	if c.Patch != "" {
+		return c.check(ctx, o)
+	}
 	if c.Build != "" {
 		o.Program, err = filepath.Abs(filepath.Join(c.Build, build.Relay))
 		o.Revision = "built"
@@ -72,6 +76,34 @@
 	return err
 }
 
+// check plays a build that is broken on purpose until a seed catches it: exit 0 if one does.
+func (c *soakCmd) check(ctx context.Context, o soak.Options) error {
+	root, err := build.Root(".")
+	if err != nil {
+		return err
+	}
+	patch, err := filepath.Abs(c.Patch)
+	if err != nil {
+		return err
+	}
+	name := strings.TrimSuffix(filepath.Base(patch), ".patch")
+	o.Out = filepath.Join(c.Out, "break-"+name)
+	if o.Program, o.Revision, err = build.Revision(ctx, root, "HEAD", patch, o.Out, "testbed"); err != nil {
+		return err
+	}
+	o.First = true
+	s, err := soak.Play(ctx, o)
+	if err != nil {
+		return err
+	}
+	if s.Broken == 0 {
+		fmt.Printf("%-24s NOT CAUGHT in %d plays\n", name, s.Plays)
+		return errBroken
+	}
+	fmt.Printf("%-24s caught by seed %d, play %d: %v\n", name, s.Failed[0], s.Plays, s.RulesBroken())
+	return nil
+}
+
 func (c *soakCmd) seeds() (all []uint64, err error) {
 	if c.Seeds == "" {
 		return []uint64{c.Seed}, nil
@@ -92,10 +124,8 @@
 func tellSoak(s *soak.Summary) {
 	fmt.Printf("%d plays, %.0f relays, %.0f messages; %d on a machine too loaded; %d broke a rule: %v\n", s.Plays, s.Processes, s.Messages,
 		s.Invalid, s.Broken, s.Failed)
-	for _, rule := range slices.Sorted(maps.Keys(s.Rules)) {
-		if s.Rules[rule] > 0 {
-			fmt.Printf("  rule %s: %.0f\n", rule, s.Rules[rule])
-		}
+	for _, rule := range s.RulesBroken() {
+		fmt.Printf("  rule %s\n", rule)
 	}
 	var kinds []string
 	for _, kind := range slices.Sorted(maps.Keys(s.Troubles)) {
--- a/internal/testbed/build/build.go
+++ b/internal/testbed/build/build.go
@@ -56,7 +56,7 @@
 
 // Revision builds a revision into a folder, in a work tree of its own that is gone afterwards. patch, if not "", is a
 // file that is applied to it first.
-func Revision(ctx context.Context, root, rev, patch, into string) (program, revision string, err error) {
+func Revision(ctx context.Context, root, rev, patch, into string, tags ...string) (program, revision string, err error) {
 	if revision, err = git(ctx, root, "rev-parse", "--short", rev+"^{commit}"); err != nil {
 		return "", "", err
 	}
@@ -74,7 +74,7 @@
 			return "", "", err
 		}
 	}
-	program, err = compile(ctx, tree, into)
+	program, err = compile(ctx, tree, into, tags...)
 	return program, revision, err
 }
 
--- a/internal/testbed/soak/soak.go
+++ b/internal/testbed/soak/soak.go
@@ -98,6 +98,7 @@
 	Out      string
 	Log      io.Writer
 	Shrink   bool // play one that breaks a rule again with fewer troubles
+	First    bool // end with the first play that breaks a rule
 }
 
 // Summary is what came of the plays.
@@ -112,6 +113,8 @@
 
 // Play plays seeds until all are played or ctx ends.
 func Play(ctx context.Context, o Options) (*Summary, error) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	s := &Summary{Troubles: map[string]int{}, Overlaps: map[string]int{}, Rules: map[string]float64{}}
 	var mu sync.Mutex
 	var firstErr error
@@ -129,6 +132,9 @@
 				if r != nil {
 					s.add(x, seed, r, o.Log)
 				}
+				if o.First && s.Broken > 0 {
+					stop()
+				}
 				mu.Unlock()
 				if r != nil && o.Shrink && r.Figures["broken_rules"] > 0 {
 					o.shrink(ctx, x, seed, r)
@@ -149,6 +155,17 @@
 	return s, firstErr
 }
 
+// RulesBroken are the rules that were, with how often.
+func (s *Summary) RulesBroken() (names []string) {
+	for rule, n := range s.Rules {
+		if n > 0 {
+			names = append(names, fmt.Sprintf("%s %.0f", rule, n))
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // relays is how many relays a seed is played on.
 func (o *Options) relays(seed uint64) int {
 	if o.Relays > 0 {
