--- a/internal/relay/durable_test.go
+++ b/internal/relay/durable_test.go
@@ -185,3 +185,24 @@
 		}
 	}
 }
+
+// A client that leaves while its message's call waits for the disk hands it in anew: that call must not leave as well.
+func TestACallThatWaitsForTheDiskIsNotMadeForAClientThatLeft(t *testing.T) {
+	var gate sync.RWMutex
+	r := newDurableRelay(t, crashdisk.New(), &gate)
+	r.guard.OnViolation(func(text string) { t.Error(text) })
+	gate.Lock()
+	in := newHandIn("a", 7, time.Minute)
+	r.step([]any{in})
+	r.step([]any{withdrawal{r.traces["a"].ID}})
+	gate.Unlock()
+	whole(t, r)
+	r.step(nil)
+	if r.out > 0 {
+		t.Errorf("%d calls out for a message that is withdrawn", r.out)
+	}
+	whole(t, r)
+	if r.held > 0 || len(r.msgs) > 0 {
+		t.Errorf("%d held, %d known", r.held, len(r.msgs))
+	}
+}
