Make no call for a message that has ended while the call waited for the disk

Cause: Relay.fulfil looked at a call again only where it had waited for over 50 ms (heldMost), or was not written; a client that left within that time had its message sent, and handed it in anew. Change: a call of which a message has ended is given back, however short it has waited. The path is that of a log in segments that outlasts a loss of power; the single file writes at once, and what it could not write was asked again before.

--- a/internal/relay/durable.go
+++ b/internal/relay/durable.go
@@ -92,7 +92,7 @@
 	held := p.unwritten || clock.Since(p.since) > heldMost
 	var calls []*call
 	for _, c := range p.calls {
-		if held && !r.mayLeave(c) {
+		if c.anyEnded() || held && !r.mayLeave(c) {
 			r.giveBack([]*call{c}, policy.Moot)
 			continue
 		}
@@ -114,13 +114,18 @@
 	}
 }
 
+// anyEnded tells whether a message of a call has ended since the call was decided on.
+func (c *call) anyEnded() bool {
+	return slices.ContainsFunc(c.attempts, func(a *attempt) bool { return a.m.ended })
+}
+
 // mayLeave tells whether a call that was held up may still be made.
 func (r *Relay) mayLeave(c *call) bool {
+	if c.anyEnded() {
+		return false // of which the module may not have heard yet
+	}
 	var ids []uint32
 	for _, a := range c.attempts {
-		if a.m.ended {
-			return false // of which the module may not have heard yet
-		}
 		ids = append(ids, a.m.ID)
 	}
 	return !r.noSends && clock.Now().Before(c.until) && r.sender.MayStill(c.route, r.now(), ids...)
