Judge what restarts do with messages: given up untried, refused and sent, deadlines moved

Change: three rules. What restarts find untried with half of its time left is tried, for the most part; what was refused is not sent; the time that a restart takes a message to have, which its log tells now, is the one that it has.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -359,7 +359,8 @@
 	}
 	for _, w := range found.Messages {
 		m := &message{Message: w, sends: w.Attempts}
-		r.changed(m, stateNew, stateHeld, reasonRecovered, slog.Int("attempts", w.Attempts), slog.Int("may_run", len(w.MayRun)))
+		r.changed(m, stateNew, stateHeld, reasonRecovered, slog.Int("attempts", w.Attempts), slog.Int("may_run", len(w.MayRun)),
+			slog.Int64("left_ms", clock.Until(w.Deadline).Milliseconds()))
 		r.msgs[m.ID], r.traces[m.Trace] = m, m
 		r.lastID = max(r.lastID, m.ID)
 		out := outs[m.ID]
--- a/internal/testbed/audit/audit.go
+++ b/internal/testbed/audit/audit.go
@@ -39,10 +39,13 @@
 	Hostile   = "hostile"
 	Crash     = "crash"
 	Limit     = "over_limit"
+	GivenUp   = "given_up"       // over half of what restarts found untried, with half of its time left, was given up with no call
+	SentAgain = "refused_sent"   // refused with a promise of no effect, and sent
+	Moved     = "deadline_moved" // a restart takes a message to have more or less time left than it has
 )
 
 // Rules are all of them.
-var Rules = []string{Lost, Late, Second, Duplicate, Drain, Wait, Cold, Wrong, Hostile, Crash, Limit}
+var Rules = []string{Lost, Late, Second, Duplicate, Drain, Wait, Cold, Wrong, Hostile, Crash, Limit, GivenUp, SentAgain, Moved}
 
 // Breach is one broken rule.
 type Breach struct {
@@ -75,6 +78,9 @@
 	j.waits()
 	j.cold()
 	j.rest()
+	j.givenUp()
+	j.refused()
+	j.moved()
 	slices.SortStableFunc(j.found, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
 	return j.found
 }
--- a/internal/testbed/ledger/ledger.go
+++ b/internal/testbed/ledger/ledger.go
@@ -32,6 +32,8 @@
 	Unknowns []Unknown
 	Views    []ViewChange
 	Traffic  []Traffic
+	// Recovered is what restarts told of the messages that they found, where relays log it.
+	Recovered []Recovered
 
 	byTrace map[string]*HandIn
 }
@@ -123,6 +125,14 @@
 	Bytes    int64
 }
 
+// Recovered is a message that a restart found, with the time that it took it to have left.
+type Recovered struct {
+	Relay int
+	Trace string
+	At    time.Duration
+	Left  time.Duration
+}
+
 // Pause is a time for which a process stood still.
 type Pause struct{ From, To time.Duration }
 
@@ -229,6 +239,8 @@
 		l.Views = append(l.Views, x)
 	case Traffic:
 		l.Traffic = append(l.Traffic, x)
+	case Recovered:
+		l.Recovered = append(l.Recovered, x)
 	default:
 		panic(fmt.Sprintf("ledger: no place for %T", x))
 	}
--- /dev/null
+++ b/internal/testbed/process/recovered.go
@@ -0,0 +1,54 @@
+package process
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/testbed/ledger"
+)
+
+// Recovered reads from the relays' logs what restarts told of the messages that they found, into the ledger.
+func (f *Fleet) Recovered() error {
+	for r, relay := range f.plan.Relays {
+		logs, err := filepath.Glob(filepath.Join(f.dir, relay.Name, "log.*"))
+		if err != nil {
+			return fmt.Errorf("process: recovered: %w", err)
+		}
+		for _, path := range logs {
+			if err := f.recovered(r, path); err != nil {
+				return fmt.Errorf("process: recovered: %w", err)
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) recovered(r int, path string) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		if !strings.Contains(lines.Text(), `"reason":"recovered"`) {
+			continue
+		}
+		var line struct {
+			Time   time.Time
+			Trace  string
+			LeftMS *int64 `json:"left_ms"`
+		}
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil || line.LeftMS == nil {
+			continue // cut off by a kill, or of a version of before
+		}
+		f.book.Add(ledger.Recovered{Relay: r, Trace: line.Trace, At: f.book.At(line.Time),
+			Left: time.Duration(*line.LeftMS) * time.Millisecond})
+	}
+	return lines.Err()
+}
--- a/internal/testbed/run/run.go
+++ b/internal/testbed/run/run.go
@@ -270,6 +270,11 @@
 	if err := c.fleet.Views(); err != nil {
 		return nil, err
 	}
+	if c.plan.Experiment.Fleet.Debug {
+		if err := c.fleet.Recovered(); err != nil {
+			return nil, err
+		}
+	}
 	fates := audit.Fates(c.plan, c.book, c.offset)
 	breaches := audit.Judge(c.plan, c.book, c.offset, c.end)
 	r := &Result{Experiment: c.o.Experiment.Name, Seed: c.o.Seed, Quick: c.o.Quick, Revision: c.o.Revision, Relays: len(c.plan.Relays),
