Have the emulator's partners fall at the budget that the site's terms name

The emulator allowed N calls, a root of N and 2; the terms that came last, N, 2 roots of N and 2, and 3 roots of N and 3 under 30 calls. The check was wrong by the terms, and is replaced by theirs; it is as strict as they are.

--- a/internal/testbed/platform/partner.go
+++ b/internal/testbed/platform/partner.go
@@ -16,7 +16,6 @@
 const (
 	rateBurst   = 0.3  // seconds of a plain rate that may come at once
 	itemCost    = 0.15 // work of each further message in a call, in calls
-	fallSlack   = 2    // calls over the budget that chance excuses, besides the deviation of the count
 	refuseAfter = 2 * time.Second
 	quickError  = 3 * time.Millisecond
 )
@@ -267,7 +266,7 @@
 		}
 	}
 	budget := x.FallFactor * capacity * x.FallSeconds
-	if float64(len(sc.recent)) <= budget+fallSlack+math.Sqrt(budget) {
+	if float64(len(sc.recent)) <= withChance(budget) {
 		return
 	}
 	sc.fallen = true
@@ -282,6 +281,16 @@
 	})
 }
 
+// withChance is how many calls a budget of so many allows, by the site's terms: what is beyond it by chance breaks no rule.
+func withChance(budget float64) float64 {
+	const few = 30 // calls
+	roots := 2.0
+	if budget < few {
+		roots = 3
+	}
+	return budget + roots*math.Sqrt(budget) + roots
+}
+
 // begin has a trouble strike endpoints; end is its counterpart.
 func (s *partners) begin(f *plan.Fault, now time.Duration) {
 	s.mu.Lock()
