Add a failing test: a socket that fails puts off discovery's news by seconds

By the relay's log the next call to discovery came 2.1 s after one that had failed with ENOMEM on its own machine.

--- a/internal/relay/transient_test.go
+++ b/internal/relay/transient_test.go
@@ -282,3 +282,32 @@
 	}
 	return errno
 }
+
+// A call to discovery that fails on this machine is no work for discovery, and says nothing of it: the next one comes at once, in a
+// fleet of any size, or what the agent has meanwhile is not heeded.
+func TestCallsThatFailHerePutOffNoNews(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH,
+		syscall.ECONNABORTED} {
+		const tries = 20
+		fault := newFailing(errno, tries, sockets.Connect)
+		restore := sockets.SetFaults(fault)
+		ctx, cancel := context.WithCancel(t.Context())
+		var longest time.Duration
+		w := watcher{
+			log: quiet(), agent: newAgent("127.0.0.1:1"), silence: patience, fleet: 300, random: func() float64 { return 1 }, now: time.Now,
+			sleep: func(_ context.Context, d time.Duration) {
+				if fault.exhausted() {
+					cancel()
+					return
+				}
+				longest = max(longest, d)
+			},
+		}
+		w.run(ctx)
+		cancel()
+		restore()
+		if longest > 150*time.Millisecond {
+			t.Errorf("%v: the next call comes %v after one that failed here", errno, longest)
+		}
+	}
+}
