Ask discovery again at once after a call that failed on this machine

Cause: watcher.run took a socket or connect that failed here (ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, ENETUNREACH, ECONNABORTED) for a call that discovery had failed, and spread the next one over up to 6 s in a larger fleet; what the agent had meanwhile was not heeded. Change: after such a call the next one comes in 50 ms. It reaches nobody, so that it is no work for discovery.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -28,6 +28,8 @@
 	noticeMost   = time.Second
 	noticePause  = 100 * time.Millisecond // at most, between a request that failed at once and the next
 	fetchTimeout = time.Second
+	// A call that fails on this machine reaches nobody, and there is no reason to spread the next one.
+	failedHerePause = 50 * time.Millisecond
 	// Turned away calls are work for discovery too: a fleet that comes again at once keeps it from serving anyone.
 	awayFirst   = time.Second
 	awayMost    = 8 * time.Second
@@ -140,6 +142,8 @@
 		case errors.Is(err, errAway):
 			w.wait(ctx, w.inTime(time.Duration((0.5+w.random())*float64(away))+w.spread(toldWithin)))
 			away = min(awayMost, 2*away)
+		case failedHere(err):
+			w.wait(ctx, failedHerePause)
 		default:
 			w.wait(ctx, w.inTime(pause+w.spread(soon)))
 			pause, away = min(retryMost, 2*pause), awayFirst
--- a/internal/relay/transient.go
+++ b/internal/relay/transient.go
@@ -34,6 +34,18 @@
 	syscall.ETIMEDOUT, syscall.EPROTO,
 }
 
+// local are errors of socket and connect that come from this machine, whatever becomes of the one that is called.
+var local = []syscall.Errno{
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOMEM, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ECONNABORTED,
+	syscall.EINTR, syscall.EAGAIN,
+}
+
+// failedHere tells whether a call has failed on this machine, and has reached nobody.
+func failedHere(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && slices.Contains(local, errno)
+}
+
 // mayPass tells whether a call that failed may succeed if it is made again.
 func mayPass(err error) bool {
 	var errno syscall.Errno
