--- a/internal/testbed/audit/audit.go
+++ b/internal/testbed/audit/audit.go
@@ -327,6 +327,7 @@
 		if !ok || c.FirstByte <= at+drainGrace+slack {
 			continue
 		}
+		at = j.reachable(c.Relay, at) // news counts as told once discovery can be reached
 		// What began, or stood still, since then has heard of it only afterwards.
 		for _, x := range j.lives[c.Relay] {
 			if x.Start <= c.FirstByte && x.Start > at && !x.Replaces {
