--- a/policy/policy.go
+++ b/policy/policy.go
@@ -476,7 +476,8 @@
 	}
 	s.count(g)
 	if r.run++; r.cold && r.back == 0 {
-		// One delivery ends a slight doubt, but not where more than a call waits and nothing tells how much may follow it.
+		// One delivery ends a slight doubt, but not where more than a call waits and nothing tells how much
+		// may follow it.
 		waits := len(g.dest.queue) > s.room(r)
 		r.back, r.cold = s.now, !r.slight || waits && s.limit(g) == 0
 		if usual := max(s.part(g), s.rate(g)); !r.cold && waits {
