Tell the guard of closing what has its answer on the way, not what phase a connection is in

The guard was wrong: the phase changes after the answer is written. Change: clients.close goes by the mark that is taken away before an answer is written, now atomic.

--- a/internal/relay/clients.go
+++ b/internal/relay/clients.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -83,7 +84,7 @@
 	dismissed bool // asked to end: a request that has been read still has its answer
 	gone      bool
 
-	unanswered bool // a request was read, its client has not left, and it has no answer yet; its own goroutine's
+	unanswered atomic.Bool // a request was read, its client has not left, and its answer is not being written yet
 }
 
 // clients serves the connections of clients. Where room is short, those that say nothing make way.
@@ -320,7 +321,7 @@
 		late := !clock.Now().Before(by)
 		for c := range s.conns {
 			if late {
-				s.guard.Closing(c.RemoteAddr().String(), c.phase == busy && !c.gone, 0)
+				s.guard.Closing(c.RemoteAddr().String(), c.unanswered.Load() && c.phase == busy, 0)
 				s.drop(c)
 			} else if c.phase == silent || c.phase == idle {
 				s.dismiss(c)
@@ -338,7 +339,7 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if !c.gone {
-			s.guard.Closing(c.RemoteAddr().String(), c.unanswered, 0)
+			s.guard.Closing(c.RemoteAddr().String(), c.unanswered.Load(), 0)
 		}
 		s.drop(c)
 	}()
@@ -376,12 +377,12 @@
 	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") {
 		io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
-	c.unanswered = true
+	c.unanswered.Store(true)
 	whole := int64(c.r.Buffered()) >= req.ContentLength && req.ContentLength >= 0
 	a := s.answer(c, req)
 	switch {
 	case a.status == 0:
-		c.unanswered = false
+		c.unanswered.Store(false)
 		return false // the client has left
 	case a.status >= 400 && a.status < 500:
 		if whole {
@@ -456,7 +457,7 @@
 		return last, err
 	}
 	c.SetWriteDeadline(clock.Now().Add(writeFor))
-	c.unanswered = false // if it can't be written, its client has left
+	c.unanswered.Store(false) // if it can't be written, its client has left
 	_, err := c.Write(text.Bytes())
 	return last, err
 }
