Tell no end that a failed write has kept out of the log

What callers saw: a notice or a 503 for a message that the next process then sent.

Cause: where the write of a step's decisions failed with anything but ErrWorn (no room, or in segments any failed write whose traces could be taken away again), the step's calls were given back, but its answers and notices went out as if they were recorded. Only one kind of error was looked at, here and in tellEnds.

Why this works: whatever the error, what the step owes waits until the log has written what was noted, and then goes out; the step's calls are still given back, and the notes are tried without them at once. Notes that a compaction has taken over count as written.

--- a/internal/relay/carry.go
+++ b/internal/relay/carry.go
@@ -53,15 +53,18 @@
 		}
 	}
 	p := promise{waiting: waiting, answers: answers, ended: ended, calls: calls}
-	// A send that is not in the log must not leave: after a restart it would be made again.
-	switch err := r.record(calls); {
-	case errors.Is(err, wal.ErrWorn):
-		p.unwritten = true
-		p.waiting = r.answerTaken(p)
-	case err != nil:
+	// A send that is not in the log must not leave: after a restart it would be made again. An end that is not must not be
+	// told: after a restart the message would be sent.
+	err := r.record(calls)
+	if err != nil && !errors.Is(err, wal.ErrWorn) {
 		r.log.Warn("log not written", "calls", len(calls), "err", err)
 		r.giveBack(calls, policy.ConnectFailed)
 		p.calls = nil
+		err = r.record(nil) // what was noted may find room without the sends
+	}
+	if err != nil {
+		p.unwritten = true
+		p.waiting = r.answerTaken(p)
 	}
 	r.promise(p)
 }
--- a/internal/relay/durable.go
+++ b/internal/relay/durable.go
@@ -57,7 +57,7 @@
 func (r *Relay) tellEnds(ended []*message) {
 	if len(ended) > 0 {
 		err := r.record(nil)
-		r.promise(promise{ended: ended, unwritten: errors.Is(err, wal.ErrWorn)})
+		r.promise(promise{ended: ended, unwritten: err != nil})
 	}
 }
 
@@ -73,6 +73,18 @@
 	})
 }
 
+// noteWritten has what waits for a write go on once all that was noted has been written, be it in a compaction, which is no write
+// of its own. With power a sync counts, which the next write brings.
+func (r *Relay) noteWritten() {
+	waits := slices.ContainsFunc(r.promises, func(p promise) bool { return p.unwritten })
+	if !waits || r.cfg.Power || r.wal.Failure() != nil || r.record(nil) != nil {
+		return
+	}
+	for i := range r.promises {
+		r.promises[i].seq = min(r.promises[i].seq, r.wal.Written())
+	}
+}
+
 // redeem carries out what has become durable.
 func (r *Relay) redeem() {
 	for durable := r.wal.Durable(); len(r.promises) > 0 && r.promises[0].seq <= durable; {
@@ -141,6 +153,7 @@
 			r.log.Info("the log goes on in a new file")
 		}
 	}
+	r.noteWritten()
 	r.redeem()
 	now := clock.Now()
 	for i := range r.promises {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -73,7 +73,7 @@
 }
 
 // newTestRelayOn is such a relay on a disk of the test's own.
-func newTestRelayOn(t *testing.T, files func(dir string) disk.FS) *Relay {
+func newTestRelayOn(t *testing.T, files func(dir string) disk.FS, change ...func(*Config)) *Relay {
 	t.Helper()
 	c, err := parseConfig([]byte(`{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":` + settingsJSON +
 		`,"known":{"version":1,"full":true,"servers":[
@@ -83,6 +83,9 @@
 	}
 	c.StateDir = t.TempDir()
 	c.Disk = files(c.StateDir)
+	for _, f := range change {
+		f(&c)
+	}
 	r, err := New(t.Context(), c, quiet())
 	if err != nil {
 		t.Fatal(err)
