Withhold a refusal while the log may still hold the message

What callers saw: a 500 or 503, and the next process sent the message all the same.

A SIGKILL before the log was in order, and the next process found the message open.

Why this works: such an answer is given once the log is in order and has all that was noted. Where the log has a refusal without power it is now told as such, not as 500.

--- a/internal/relay/durable.go
+++ b/internal/relay/durable.go
@@ -155,6 +155,7 @@
 	}
 	r.noteWritten()
 	r.redeem()
+	r.releaseWithheld()
 	now := clock.Now()
 	for i := range r.promises {
 		p := &r.promises[i]
@@ -163,7 +164,7 @@
 			continue
 		}
 		for _, in := range p.waiting {
-			in.reply <- r.overdue(in.as, p.answers[in.as.ID])
+			r.answerOverdue(in, p.answers[in.as.ID])
 		}
 		p.waiting = nil
 		if p.unwritten || now.Sub(p.since) < tellMost {
@@ -176,15 +177,23 @@
 	}
 }
 
-// overdue is the answer to a client that waits too long for the disk. A message that is not on it is not taken on.
-func (r *Relay) overdue(m *message, a answer) answer {
+// answerOverdue answers a client that has waited too long for the disk. A message that is not on it is not taken on.
+func (r *Relay) answerOverdue(in *handIn, a answer) {
 	switch {
-	case a.status == http.StatusAccepted && m.seq <= r.wal.Durable():
-		return a
-	case a.status != http.StatusAccepted:
-		// Its end is not in the log, and the next process might send it after all: no promise that it has no effect.
-		return answer{status: http.StatusInternalServerError}
+	case a.status == http.StatusAccepted && in.as.seq <= r.wal.Durable():
+		in.reply <- a
+	case a.status == http.StatusAccepted:
+		r.deny(in, r.overdue(in.as))
+	case r.cfg.Power:
+		// Its end is not synced, and after a loss of power the message might be sent: no promise that it has no effect.
+		r.deny(in, answer{status: http.StatusInternalServerError})
+	default:
+		r.deny(in, a)
 	}
+}
+
+// overdue ends a message that is not on the disk in time, and is what its client is told.
+func (r *Relay) overdue(m *message) answer {
 	turned := answer{status: 503, again: policy.RetryAdvice}
 	if m.Withdrawn || !r.wal.Owes(m.Message) {
 		return turned // a second client of the same message
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -156,7 +156,8 @@
 	owed         *overflow           // nil: no backlog is kept
 	kept         []any               // came while the loop waited for a job, for the next step
 
-	promises []promise     // wait for the disk, oldest first
+	promises []promise // wait for the disk, oldest first
+	withheld []withheldAnswer
 	synced   chan struct{} // holds one: the disk has something more
 	worn     bool          // the disk has failed the log
 	behind   time.Duration // the wall clock, to what the log has seen; 0 unless it was set back
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -99,6 +99,7 @@
 		r.owed.balance()
 		r.owed.tend()
 	}
+	r.releaseWithheld()
 	r.publish()
 	for _, h := range heirs {
 		r.handOver(h.link)
@@ -156,11 +157,7 @@
 		r.log.Warn("refusing new messages", "err", err)
 	}
 	r.full = true
-	turned := answer{status: http.StatusServiceUnavailable, again: policy.RetryAdvice}
-	if errors.Is(err, wal.ErrUnclear) {
-		// The next process may find it: handed in once more, it would run twice.
-		turned = answer{status: http.StatusInternalServerError}
-	}
+	turned := noRoom()
 	var joined []*handIn
 	for _, in := range waiting {
 		if m := in.as; m.Message == in.m {
@@ -174,7 +171,11 @@
 			continue
 		}
 		r.turnedAway.add(in.m.Trace, turned, in.m.Deadline)
-		in.reply <- turned
+		if errors.Is(err, wal.ErrUnclear) {
+			r.deny(in, turned) // the log may hold it
+		} else {
+			in.reply <- turned
+		}
 	}
 	for _, m := range r.left {
 		if m.next != nil && r.msgs[m.next.ID] == nil {
@@ -191,6 +192,9 @@
 		in.as, old.shared = old, true
 		return true
 	}
+	if r.withholds(in) {
+		return true
+	}
 	if a, ok := r.ended(in.m); ok {
 		in.reply <- a
 		return true
--- a/internal/relay/unwritten_test.go
+++ b/internal/relay/unwritten_test.go
@@ -114,3 +114,70 @@
 		})
 	}
 }
+
+func TestNoRefusalIsToldWhileTheLogMayHoldTheMessage(t *testing.T) {
+	for format, change := range stateFormats {
+		t.Run(format, func(t *testing.T) {
+			// All of a write stays, though it fails, and can't be taken away.
+			d := &sickDisk{fault: faultdisk.Fault{Err: syscall.EIO, Reach: faultdisk.All},
+				ops: []faultdisk.Op{faultdisk.Write}}
+			cleaning := &sickDisk{fault: faultdisk.Fault{Err: syscall.EIO}, ops: []faultdisk.Op{faultdisk.Truncate, faultdisk.Open}}
+			var erasing atomic.Bool
+			r := newTestRelayOn(t, func(dir string) disk.FS {
+				return &faultdisk.Disk{FS: cleaning.files(dir), Fail: func(op faultdisk.Op, _ string) faultdisk.Fault {
+					switch {
+					case op != faultdisk.Write || !d.sick.Load():
+						return faultdisk.Fault{}
+					case erasing.Swap(true):
+						return cleaning.fault
+					}
+					return d.fault
+				}}
+			}, change)
+			d.sick.Store(true)
+			cleaning.sick.Store(true)
+			first, again := newHandIn("m1", 7, 5*time.Second), newHandIn("m1", 7, 5*time.Second)
+			r.step([]any{first})
+			r.step([]any{again})
+			r.tend()
+			for _, in := range []*handIn{first, again} {
+				if a, ok := answered(in); ok {
+					t.Errorf("told %+v, and the next process may send it", a)
+				}
+			}
+			d.sick.Store(false)
+			cleaning.sick.Store(false)
+			for _, in := range []*handIn{first, again} {
+				eventually(t, "answered", func() bool {
+					r.tend()
+					a, ok := answered(in)
+					if ok && a.status != http.StatusServiceUnavailable && a.status != 0 {
+						t.Errorf("told %+v", a)
+					}
+					return ok
+				})
+			}
+			if next := restarted(t, r); next.traces["m1"] != nil {
+				t.Error("the next process holds it")
+			}
+		})
+	}
+}
+
+func TestAWithheldAnswerIsGivenUpOnceItsClientHasLeft(t *testing.T) {
+	d := &sickDisk{fault: faultdisk.Fault{Err: syscall.EIO, Reach: faultdisk.All}, ops: []faultdisk.Op{faultdisk.Write, faultdisk.Truncate}}
+	r := newTestRelayOn(t, d.files)
+	d.sick.Store(true)
+	in := newHandIn("m1", 7, 5*time.Second)
+	r.step([]any{in})
+	r.withheld[0].until = time.Now()
+	r.step(nil)
+	if a, ok := answered(in); !ok || a.status != 0 {
+		t.Errorf("answered %+v, %v", a, ok)
+	}
+	late := newHandIn("m1", 7, 5*time.Second)
+	r.step([]any{late})
+	if a, ok := answered(late); ok {
+		t.Errorf("its id is answered %+v while the log may hold it", a)
+	}
+}
