Make no call once a message of it has ended, on kept connections too

What callers saw: nothing yet; by the code a call could leave after the end of its message was told.

Cause: the loop decides ends and calls, but a call leaves from a goroutine of its own. Whether it may was asked again for new connections alone, before the request was made; for a kept one never, and a message whose time was up was only counted.

Evidence: with the new check always true, the tests see the request of a call whose message ended on a kept connection, of one whose time is up, and of a message that was refused while the connection came up.

Why this works: the loop and the call's goroutine settle by one compare-and-swap whether the request is written or revoked. The loop revokes the calls of a message that ends or is cut off; the goroutine takes its turn right before it writes, and not when an attempt's time is up. A call that was revoked never ran, which the module now hears of a cut-off attempt as well; what else it carried is sent anew.

--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -15,6 +15,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/clock"
@@ -60,6 +61,30 @@
 	until    time.Time // given up then
 	attempts []*attempt
 	size     int // of the body, at most, if it carries several
+
+	progress atomic.Int32 // a callProgress: the loop and the call's goroutine agree by it
+}
+
+// callProgress is whether a call's first byte may have left.
+type callProgress = int32
+
+const (
+	callPending callProgress = iota
+	callLeaving              // its request is being written, or was
+	callRevoked              // it will not be
+)
+
+// leave tells whether a call's request may be written. From then on nothing revokes it.
+func (c *call) leave(now time.Time) bool {
+	if slices.ContainsFunc(c.attempts, func(a *attempt) bool { return !now.Before(a.until) }) {
+		c.revoke()
+	}
+	return c.progress.CompareAndSwap(callPending, callLeaving)
+}
+
+// revoke has a call not be made whose request is not being written yet; false if it is, or was.
+func (c *call) revoke() bool {
+	return c.progress.CompareAndSwap(callPending, callRevoked) || c.progress.Load() == callRevoked
 }
 
 // attempt is one message's part in a call.
@@ -107,6 +132,11 @@
 		conn.keep()
 		return alike(c, result{outcome: policy.Moot})
 	}
+	// A message of it may have ended since the call was decided on, or its time may be up.
+	if !c.leave(clock.Now()) {
+		conn.keep()
+		return alike(c, result{outcome: policy.Moot})
+	}
 	return h.exchange(ctx, req, c, conn)
 }
 
--- /dev/null
+++ b/internal/relay/revoked_test.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"onyxroad.dev/onyxroad/internal/disk"
+	"onyxroad.dev/onyxroad/policy"
+)
+
+func TestACallWhoseMessageEndedDoesNotLeaveOnAKeptConnection(t *testing.T) {
+	addr, requests := rawHost(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	h := testHosts(t, testConfig())
+	h.do(t.Context(), newCall(addr, "a"), yes)
+	ended, late := newCall(addr, "ended"), newCall(addr, "late", "in time")
+	ended.revoke()
+	late.attempts[0].until = time.Now()
+	for _, c := range []*call{ended, late} {
+		if r := h.do(t.Context(), c, yes); r[0].outcome != policy.Moot {
+			t.Errorf("%s: outcome %v", c.attempts[0].m.Trace, r[0].outcome)
+		}
+	}
+	if n := requests.Load(); n != 1 {
+		t.Errorf("the host saw %d requests", n)
+	}
+	left := newCall(addr, "left")
+	if h.do(t.Context(), left, yes); left.revoke() {
+		t.Error("a call was revoked that had left")
+	}
+}
+
+// connecting is a relay with one endpoint that takes several messages in a call, whose connections come up when told.
+func connecting(t *testing.T) (r *Relay, up chan struct{}, sent func(id string) bool) {
+	var mu sync.Mutex
+	bodies := ""
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) {
+		body, _ := io.ReadAll(req.Body)
+		mu.Lock()
+		defer mu.Unlock()
+		bodies += req.Header.Get("X-Trace-Id") + string(body)
+	}))
+	t.Cleanup(s.Close)
+	r = newTestRelayOn(t, func(string) disk.FS { return nil }, func(c *Config) {
+		entry, _ := json.Marshal(map[string]any{"id": "s-1", "addr": addrOf(s), "zone": "a", "kind": "platform", "cell": 7,
+			"state": "ready", "weight": 500})
+		c.Known.Entries = []json.RawMessage{entry}
+	})
+	up = make(chan struct{})
+	dial := r.hosts.dial
+	r.hosts.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		<-up
+		return dial(ctx, network, addr)
+	}
+	return r, up, func(id string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return strings.Contains(bodies, id)
+	}
+}
+
+func TestAMessageThatEndsWhileItsConnectionComesUpDoesNotLeaveWithTheRest(t *testing.T) {
+	for name, end := range map[string]func(r *Relay, a *attempt){
+		"refused":     func(r *Relay, a *attempt) { r.carryOut([]policy.Action{{Kind: policy.Refuse, ID: a.m.ID}}, nil) },
+		"client left": func(r *Relay, a *attempt) { r.step([]any{withdrawal{a.m.ID}}) },
+		"cut off":     func(r *Relay, a *attempt) { r.step([]any{cutOff{a}}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, up, sent := connecting(t)
+			decide(r, newHandIn("first", 7, 5*time.Second), newHandIn("second", 7, 5*time.Second))
+			var c *call
+			for c = range r.flying {
+			}
+			if c == nil || len(c.attempts) != 2 {
+				t.Fatalf("%d calls", len(r.flying))
+			}
+			a := c.attempts[0]
+			end(r, a)
+			if name != "cut off" && a.m.out != 1 {
+				t.Errorf("%d attempts out", a.m.out)
+			}
+			if c.progress.Load() != callRevoked {
+				t.Error("its call may still leave")
+			}
+			close(up)
+			for ended := false; !ended; {
+				_, ended = r.next().(*callEnd)
+			}
+			if id := a.m.Trace; name != "cut off" && sent(id) {
+				t.Errorf("%s was sent after its end", id)
+			}
+		})
+	}
+}
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -38,7 +38,7 @@
 		case *callEnd:
 			evs = r.callEnded(evs, e)
 		case cutOff:
-			evs = r.attemptEnded(evs, e.a, result{outcome: policy.Timeout, took: clock.Since(e.a.sent)})
+			evs = r.attemptEnded(evs, e.a, e.a.cutOff())
 		case List:
 			evs = append(evs, r.list(e))
 		case clearance:
@@ -407,6 +407,7 @@
 func (r *Relay) done(m *message) {
 	if !m.ended {
 		m.ended = true
+		r.revokeCalls(m)
 		r.held--
 		r.owed.leave(m)
 	}
@@ -420,6 +421,24 @@
 	return wal.Final{Deferred: m.refused, Again: policy.RetryAdvice}
 }
 
+// revokeCalls has no call be made any more with a message, but those whose requests are being written. What else such a call
+// carries is sent anew.
+func (r *Relay) revokeCalls(m *message) {
+	for c := range r.flying {
+		if slices.ContainsFunc(c.attempts, func(a *attempt) bool { return a.m == m }) {
+			c.revoke()
+		}
+	}
+}
+
+// cutOff is how an attempt ends whose time is up before that of its call. The rest of a call that was not made is sent anew.
+func (a *attempt) cutOff() result {
+	if a.call != nil && a.revoke() {
+		return result{outcome: policy.ConnectFailed}
+	}
+	return result{outcome: policy.Timeout, took: clock.Since(a.sent)}
+}
+
 // retire forgets a message for which nothing is owed and nothing is out.
 func (r *Relay) retire(m *message) {
 	if m.out == 0 && m.ended && !r.wal.Owes(m.Message) {
