Remember requests that were turned away over restarts, too

What callers saw: a request that one process refused was taken on and sent by the next one when its id came again.

Cause: what was turned away before it was taken on was remembered in memory alone.

Why this works: the log remembers such ids like ends, in a part of their own (0.5% of the disk limit), so that a flood of refusals can't have ends forgotten. The answer goes out after the step's write, and does not wait for a disk that fails: nothing was taken on.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -135,7 +135,7 @@
 	sender       *policy.Sender
 	wal          *wal.Log
 	found        wal.Recovery // until it is taken up
-	turnedAway   refusals
+	turnedAway   []turnedAway // in this step
 	msgs         map[uint32]*message
 	traces       map[string]*message
 	routes       map[string]target
--- a/internal/relay/resubmission.go
+++ b/internal/relay/resubmission.go
@@ -6,11 +6,9 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
-	"time"
 
 	"golang.org/x/time/rate"
 
-	"onyxroad.dev/onyxroad/internal/clock"
 	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
@@ -18,9 +16,6 @@
 // A trace id that comes again is answered by what became of it. A message that has ended, whoever hands its id in, is never taken
 // on anew: by the platform's rules nothing may be sent for it any more.
 
-// turnedAwayMost bounds how many ids of requests are kept in memory that were turned away before they were taken on.
-const turnedAwayMost = 4096
-
 // resubmission is what became of an id that comes again.
 type resubmission int
 
@@ -71,14 +66,6 @@
 		r.resubmittedAs(m, way, a)
 		return a, true
 	}
-	if a, ok := r.turnedAway.find(m.Trace); ok {
-		way := resubmittedRefused
-		if a.status != http.StatusServiceUnavailable {
-			way = resubmittedFailed
-		}
-		r.resubmittedAs(m, way, a)
-		return a, true
-	}
 	return answer{}, false
 }
 
@@ -94,45 +81,31 @@
 	}
 }
 
-// turnAway answers a request that is not taken on, and remembers that.
+// turnAway remembers that a request is not taken on. It is answered at the end of the step, once the log has been told.
 func (r *Relay) turnAway(in *handIn, a answer, why reason) {
+	how := wal.Failed
+	if a.status == http.StatusServiceUnavailable {
+		how = wal.Refused
+	}
 	if a.status >= http.StatusInternalServerError {
 		r.figures.turned(in.m.Class, a)
 	}
 	r.changed(&message{Message: in.m}, stateNew, stateGone, why, slog.Int("status", a.status))
-	r.turnedAway.add(in.m.Trace, a, in.m.Deadline)
-	in.reply <- a
+	r.wal.TurnAway(in.m.Trace, in.m.Deadline, how)
+	r.turnedAway = append(r.turnedAway, turnedAway{in, a})
 }
 
-// refusals are the answers to requests that were turned away, by trace id. Nothing of them was taken on, so that they need not
-// outlast the process.
-type refusals struct {
-	answers map[string]refusal
-	order   []string // the oldest first
-}
-
-type refusal struct {
+// turnedAway is a request that is not taken on, with its answer.
+type turnedAway struct {
+	in     *handIn
 	answer answer
-	until  time.Time // the request's deadline
-}
-
-func (f *refusals) find(trace string) (answer, bool) {
-	known, ok := f.answers[trace]
-	return known.answer, ok
 }
 
-// add remembers an answer until the request's time is up, as far as there is room.
-func (f *refusals) add(trace string, a answer, until time.Time) {
-	if f.answers == nil {
-		f.answers = map[string]refusal{}
-	}
-	if _, known := f.answers[trace]; !known {
-		f.order = append(f.order, trace)
-	}
-	f.answers[trace] = refusal{a, until}
-	now := clock.Now()
-	for len(f.order) > turnedAwayMost || len(f.order) > 0 && f.answers[f.order[0]].until.Before(now) {
-		delete(f.answers, f.order[0])
-		f.order = f.order[1:]
+// answerTurnedAway answers the requests that were not taken on in this step. Nothing of them was, so that an answer waits for no
+// disk that fails.
+func (r *Relay) answerTurnedAway() {
+	for _, t := range r.turnedAway {
+		t.in.reply <- t.answer
 	}
+	r.turnedAway = r.turnedAway[:0]
 }
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -99,6 +99,7 @@
 		r.owed.balance()
 		r.owed.tend()
 	}
+	r.answerTurnedAway()
 	r.releaseWithheld()
 	r.publish()
 	for _, h := range heirs {
@@ -170,7 +171,7 @@
 			joined = append(joined, in) // of a message that is held
 			continue
 		}
-		r.turnedAway.add(in.m.Trace, turned, in.m.Deadline)
+		r.wal.TurnAway(in.m.Trace, in.m.Deadline, wal.Refused)
 		if errors.Is(err, wal.ErrUnclear) {
 			r.deny(in, turned) // the log may hold it
 		} else {
--- a/internal/wal/completed.go
+++ b/internal/wal/completed.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"onyxroad.dev/onyxroad/internal/clock"
@@ -35,7 +36,9 @@
 	completedFor = 15 * time.Minute
 	// completedShare is the part of the disk limit that remembered ends may take.
 	completedShare = 0.03
-	completedLeast = 64 // ends that are remembered on the smallest disk
+	// turnedAwayShare is the part that requests may take which were never taken on: a flood of them must not have ends forgotten.
+	turnedAwayShare = 0.005
+	completedLeast  = 64 // of either, on the smallest disk
 
 	digestBytes    = 12
 	completedBytes = digestBytes + 4 + 1 // digest, expiry, completion
@@ -100,12 +103,12 @@
 // bytes is about what the ends take in a snapshot.
 func (c *completions) bytes() int64 { return int64(len(c.order)) * completedBytes }
 
-// records are the ends as records of a snapshot.
-func (c *completions) records() (all [][]byte) {
+// records are the ends as records of a snapshot, of a kind.
+func (c *completions) records(kind byte) (all [][]byte) {
 	var packed []byte
 	flush := func() {
 		if len(packed) > 0 {
-			all = append(all, payload(record{Kind: recCompleted}, packed))
+			all = append(all, payload(record{Kind: kind}, packed))
 			packed = nil
 		}
 	}
@@ -125,15 +128,23 @@
 	return append(buf, byte(end.how))
 }
 
+// remembered is all that is remembered as records of a snapshot.
+func (s *state) remembered() [][]byte {
+	return slices.Concat(s.completed.records(recCompleted), s.turnedAway.records(recTurnedAway))
+}
+
+// rememberedBytes is about what that takes.
+func (s *state) rememberedBytes() int64 { return s.completed.bytes() + s.turnedAway.bytes() }
+
 // applyCompleted takes a record of remembered ends that was read.
-func (s *state) applyCompleted(packed []byte) {
+func (s *state) applyCompleted(to *completions, packed []byte) {
 	for ; len(packed) >= completedBytes; packed = packed[completedBytes:] {
 		end := completed{expiry: binary.LittleEndian.Uint32(packed[digestBytes:]), how: Completion(packed[completedBytes-1])}
 		if !s.resumed && !s.stamped {
 			// The times are another timeline's: nothing tells how long ago it ended.
 			end.expiry = max(end.expiry, s.expiry(clock.Now()))
 		}
-		s.completed.put(traceDigest(packed[:digestBytes]), end)
+		to.put(traceDigest(packed[:digestBytes]), end)
 	}
 }
 
@@ -159,15 +170,28 @@
 
 // Remember notes the end of a message that is not in the log.
 func (l *Log) Remember(trace string, deadline time.Time, how Completion) {
+	l.remember(&l.completed, recCompleted, trace, deadline, how)
+}
+
+// TurnAway notes that a request is not taken on.
+func (l *Log) TurnAway(trace string, deadline time.Time, how Completion) {
+	l.remember(&l.turnedAway, recTurnedAway, trace, deadline, how)
+}
+
+func (l *Log) remember(in *completions, kind byte, trace string, deadline time.Time, how Completion) {
 	d, end := digestOf(trace), completed{l.expiry(deadline), how}
-	l.notes = append(l.notes, payload(record{Kind: recCompleted}, appendCompleted(nil, d, end)))
-	l.completed.put(d, end)
+	l.notes = append(l.notes, payload(record{Kind: kind}, appendCompleted(nil, d, end)))
+	in.put(d, end)
 	l.pruneCompleted()
 }
 
-// Completed tells how the message with a trace id has ended; false if no end of one is remembered.
+// Completed tells how the message with a trace id has ended, or the request that was turned away; false if none is remembered.
 func (l *Log) Completed(trace string) (Completion, bool) {
-	end, ok := l.completed.ends[digestOf(trace)]
+	d := digestOf(trace)
+	end, ok := l.completed.ends[d]
+	if !ok {
+		end, ok = l.turnedAway.ends[d]
+	}
 	return end.how, ok
 }
 
@@ -177,6 +201,8 @@
 }
 
 func (l *Log) pruneCompleted() {
-	most := max(completedLeast, int(l.share(completedShare)/completedBytes))
-	l.completed.prune(uint32(l.times.Stamp(clock.Now()).Unix()), most)
+	now := uint32(l.times.Stamp(clock.Now()).Unix())
+	most := func(share float64) int { return max(completedLeast, int(l.share(share)/completedBytes)) }
+	l.completed.prune(now, most(completedShare))
+	l.turnedAway.prune(now, most(turnedAwayShare))
 }
--- a/internal/wal/read.go
+++ b/internal/wal/read.go
@@ -87,12 +87,13 @@
 
 // state is what a folder tells of messages.
 type state struct {
-	live      map[uint32]*Message
-	bytes     int64 // of the live messages, about
-	completed completions
-	times     clock.Timeline
-	resumed   bool // times go on with those of an earlier process
-	stamped   bool // times are left as they stand in the log
+	live       map[uint32]*Message
+	bytes      int64 // of the live messages, about
+	completed  completions
+	turnedAway completions
+	times      clock.Timeline
+	resumed    bool // times go on with those of an earlier process
+	stamped    bool // times are left as they stand in the log
 }
 
 // chain is what reading a folder in segments leaves to go on from.
--- a/internal/wal/segments.go
+++ b/internal/wal/segments.go
@@ -169,7 +169,7 @@
 	for _, p := range c.clockRecord() {
 		buf = appendRecord(buf, p)
 	}
-	for _, p := range c.completed.records() {
+	for _, p := range c.remembered() {
 		buf = appendRecord(buf, p)
 	}
 	for _, m := range c.messages() {
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -112,11 +112,12 @@
 	recFinal
 	recEnd
 	recWithdrawn
-	recHead  // of a file of a folder in segments
-	recFoot  // of a snapshot: so many messages
-	recSeal  // the segment ends here
-	recClock // the times of what follows
-	recCompleted
+	recHead       // of a file of a folder in segments
+	recFoot       // of a snapshot: so many messages
+	recSeal       // the segment ends here
+	recClock      // the times of what follows
+	recCompleted  // ends of messages that are no more in the log
+	recTurnedAway // requests that were not taken on
 )
 
 const (
@@ -441,7 +442,7 @@
 	if len(l.notes)+len(buf) == 0 {
 		return nil
 	}
-	if l.keep.size()+l.keep.framed(all)+l.keep.forStart(l.bytes+l.completed.bytes()) > l.Limit-2*disk.Sector {
+	if l.keep.size()+l.keep.framed(all)+l.keep.forStart(l.bytes+l.rememberedBytes()) > l.Limit-2*disk.Sector {
 		return ErrFull
 	}
 	if err := l.keep.append(all); err != nil {
@@ -468,7 +469,7 @@
 	if !l.headed {
 		all = l.clockRecord()
 	}
-	all = append(all, l.completed.records()...)
+	all = append(all, l.remembered()...)
 	for _, m := range l.messages() {
 		all = append(all, l.accepted(m))
 	}
@@ -513,7 +514,10 @@
 		s.resume(rec.Clock)
 		return
 	case rec.Kind == recCompleted:
-		s.applyCompleted(body)
+		s.applyCompleted(&s.completed, body)
+		return
+	case rec.Kind == recTurnedAway:
+		s.applyCompleted(&s.turnedAway, body)
 		return
 	case rec.Kind == recAccept && rec.Message != nil:
 		m = rec.Message
