Have the soak test's ids come again, and judge every way to end a request

The soak test passed on code that sends ended requests again: no client or peer of it ever handed an id in a second time, ends by an answer, a delivery or a 410 did not count, and the guard looked at the message object, which is a new one under an old id.

Now a quarter of the messages have their ids come again; the judge's rule ended_sent holds every later call of the relay, in whichever process, against its first end of any kind, with the relay's own log for what it learned from endpoints; the guard asks the log by id. Each play has signals in series and SIGKILL at the protocol's earliest moment, clients use open connections until then, and one in five has a crowd.

--- a/internal/relay/guards.go
+++ b/internal/relay/guards.go
@@ -16,8 +16,9 @@
 func (r *Relay) checkSends(c *call) {
 	now := clock.Now()
 	for _, a := range c.attempts {
+		_, completed := r.wal.Completed(a.m.Trace) // a message of its own under the id of one that has ended
 		r.guard.Sending(invariant.Send{
-			Trace: a.m.Trace, Endpoint: c.route, Recorded: a.recorded(), Ended: a.m.ended, EndOfSends: r.noSends,
+			Trace: a.m.Trace, Endpoint: c.route, Recorded: a.recorded(), Ended: a.m.ended || completed, EndOfSends: r.noSends,
 			Draining: r.outOfService.since(c.route, now), Left: a.m.Deadline.Sub(now),
 		})
 		r.checkRepeat(a, now)
--- a/internal/relay/resubmission_test.go
+++ b/internal/relay/resubmission_test.go
@@ -140,3 +140,21 @@
 		}
 	}
 }
+
+func TestASendUnderTheIDOfAnEndedMessageIsAViolation(t *testing.T) {
+	r := newTestRelay(t)
+	m := sentMessage(t, r, "m1")
+	var violations []string
+	r.guard.OnViolation(func(text string) { violations = append(violations, text) })
+	c := &call{route: "s-8"}
+	c.attempts = []*attempt{{call: c, m: m}}
+	r.checkSends(c)
+	if len(violations) > 0 {
+		t.Fatalf("before its end: %v", violations)
+	}
+	r.wal.Remember("m1", time.Now(), wal.Delivered)
+	r.checkSends(c)
+	if len(violations) != 1 || !strings.Contains(violations[0], "send_of_an_ended_message") {
+		t.Errorf("after its end: %v", violations)
+	}
+}
--- a/internal/testbed/audit/audit.go
+++ b/internal/testbed/audit/audit.go
@@ -41,11 +41,12 @@
 	Limit     = "over_limit"
 	GivenUp   = "given_up"       // over half of what restarts found untried, with half of its time left, was given up with no call
 	SentAgain = "refused_sent"   // refused with a promise of no effect, and sent
+	SentEnded = "ended_sent"     // ended by an answer, a notice or an endpoint's word, and sent
 	Moved     = "deadline_moved" // a restart takes a message to have more or less time left than it has
 )
 
 // Rules are all of them.
-var Rules = []string{Lost, Late, Second, Duplicate, Drain, Wait, Cold, Wrong, Hostile, Crash, Limit, GivenUp, SentAgain, Moved}
+var Rules = []string{Lost, Late, Second, Duplicate, Drain, Wait, Cold, Wrong, Hostile, Crash, Limit, GivenUp, SentAgain, SentEnded, Moved}
 
 // Breach is one broken rule.
 type Breach struct {
@@ -80,6 +81,7 @@
 	j.rest()
 	j.givenUp()
 	j.refused()
+	j.ended()
 	j.moved()
 	slices.SortStableFunc(j.found, func(a, b Breach) int { return cmp.Compare(a.At, b.At) })
 	return j.found
--- a/internal/testbed/audit/audit_test.go
+++ b/internal/testbed/audit/audit_test.go
@@ -59,6 +59,12 @@
 	return c
 }
 
+// killed has the first relay be killed, and start again.
+func (w *world) killed(at time.Duration) {
+	w.l.Lives[0].Asked, w.l.Lives[0].End = at, at
+	w.l.Add(&ledger.Life{Relay: 0, Start: 8 * sec, Ready: 8 * sec, Asked: ledger.Never, End: ledger.Never})
+}
+
 // unanswered has a call end with nothing that tells whether it ran.
 func (w *world) unanswered(class int) {
 	c := w.call(class)
@@ -130,6 +136,45 @@
 			w.l.Add(ledger.Notice{Trace: "status", Status: "deferred", At: 3 * sec})
 			w.again(safe, 1, 3*sec+200e6)
 		}, Second},
+		"sent after a 500": {func(w *world) {
+			w.unanswered(safe)
+			w.l.HandIns[safe].Status, w.l.HandIns[safe].Answered = 500, 2500*time.Millisecond
+			w.again(safe, 1, 3*sec)
+		}, SentEnded},
+		"sent after its id was denied": {func(w *world) {
+			w.l.Add(&ledger.Resubmission{Trace: "status", Answered: 3 * sec, Status: 400})
+			w.again(safe, 1, 4*sec)
+		}, SentEnded},
+		"sent after its id was taken": {func(w *world) {
+			w.l.Add(&ledger.Resubmission{Trace: "status", Answered: 3 * sec, Status: 202})
+			w.again(safe, 1, 4*sec)
+		}, ""},
+		"sent after it was delivered": {func(w *world) {
+			w.l.Add(ledger.Learned{Trace: "status", At: 2300 * time.Millisecond})
+			w.again(safe, 1, 4*sec)
+		}, SentEnded},
+		"sent by the next process after it was delivered": {func(w *world) {
+			w.l.Add(ledger.Learned{Trace: "status", At: 2300 * time.Millisecond})
+			w.killed(sec * 3)
+			w.again(safe, 1, 9*sec)
+		}, SentEnded},
+		"delivered right before a kill": {func(w *world) {
+			w.l.Add(ledger.Learned{Trace: "status", At: 2300 * time.Millisecond})
+			w.killed(2310 * time.Millisecond)
+			w.again(safe, 1, 9*sec)
+		}, ""},
+		"delivered while the disk failed": {func(w *world) {
+			w.l.Add(ledger.Learned{Trace: "status", At: 2300 * time.Millisecond})
+			w.p.Faults = []plan.Fault{{Kind: "files", At: 2 * sec, For: 2 * sec, Relays: []int{0}}}
+			w.killed(3 * sec)
+			w.again(safe, 1, 9*sec)
+		}, ""},
+		"refused, and sent by the next process": {func(w *world) {
+			w.unanswered(safe)
+			w.l.HandIns[safe].Status, w.l.HandIns[safe].Answered = 500, 2500*time.Millisecond
+			w.killed(2501 * time.Millisecond)
+			w.again(safe, 1, 9*sec)
+		}, SentEnded},
 		"a payment twice": {func(w *world) { w.unanswered(unsafe); w.again(unsafe, 1, 4*sec) }, Duplicate},
 		"a payment after a refusal": {func(w *world) {
 			c := w.call(unsafe)
--- a/internal/testbed/experiment/experiment.go
+++ b/internal/testbed/experiment/experiment.go
@@ -130,17 +130,21 @@
 
 // Load is the messages.
 type Load struct {
-	Level     Range      `toml:"level"`      // traffic over the full load
-	Clumps    Range      `toml:"clumps"`     // share of the messages that come in clumps for one destination
-	ClumpSpan Range      `toml:"clump_s"`    // a clump's size, in seconds of the destination's full load
-	Retries   Range      `toml:"retries"`    // times that a client comes again after a refusal
-	Backoff   Range      `toml:"backoff_ms"` // wait before that, doubling
-	Heeds     Range      `toml:"heeds"`      // share of the clients that heed a told time
-	Leaves    Range      `toml:"leaves"`     // share of the clients that leave before their answer and come again
-	Again     Range      `toml:"again_ms"`   // until what a dead relay left unanswered comes to a live one
-	AnswerIn  Duration   `toml:"answer_in"`  // how long a client waits for its answer
-	HeavyBody Range      `toml:"heavy_body"` // share of the messages with a body of 8 to 64 KiB
-	Hostile   Range      `toml:"hostile"`    // hostile peers a second, over the fleet
+	Level     Range    `toml:"level"`      // traffic over the full load
+	Clumps    Range    `toml:"clumps"`     // share of the messages that come in clumps for one destination
+	ClumpSpan Range    `toml:"clump_s"`    // a clump's size, in seconds of the destination's full load
+	Retries   Range    `toml:"retries"`    // times that a client comes again after a refusal
+	Backoff   Range    `toml:"backoff_ms"` // wait before that, doubling
+	Heeds     Range    `toml:"heeds"`      // share of the clients that heed a told time
+	Leaves    Range    `toml:"leaves"`     // share of the clients that leave before their answer and come again
+	Again     Range    `toml:"again_ms"`   // until what a dead relay left unanswered comes to a live one
+	AnswerIn  Duration `toml:"answer_in"`  // how long a client waits for its answer
+	HeavyBody Range    `toml:"heavy_body"` // share of the messages with a body of 8 to 64 KiB
+	Hostile   Range    `toml:"hostile"`    // hostile peers a second, over the fleet
+	// Resubmitted is the share of the messages whose trace ids come again, up to three times, whatever became of them.
+	Resubmitted float64 `toml:"resubmitted"`
+	// Crowd is how many connections idle clients hold at some of the relays.
+	Crowd     Range      `toml:"crowd"`
 	Classes   []Class    `toml:"class"`
 	Customers []Customer `toml:"customer"`
 }
@@ -223,6 +227,7 @@
 	"quiet":     "discovery says nothing for For",
 	"late-news": "discovery's news comes Size seconds later",
 	"move":      "discovery moves, told by a new configuration and SIGHUP",
+	"series":    "SIGHUP, SIGTERM, both again, and SIGKILL as early as the protocol allows",
 	"burst":     "traffic is Size times as much for For",
 	"hostile":   "Size hostile peers a second come to the relays struck",
 	"leave":     "Size of the clients leave before their answer",
--- a/internal/testbed/ledger/ledger.go
+++ b/internal/testbed/ledger/ledger.go
@@ -34,6 +34,10 @@
 	Traffic  []Traffic
 	// Recovered is what restarts told of the messages that they found, where relays log it.
 	Recovered []Recovered
+	// Learned are the ends that relays have learned of from endpoints, where they log them.
+	Learned []Learned
+	// Resubmissions are ids that were handed in again.
+	Resubmissions []*Resubmission
 
 	byTrace map[string]*HandIn
 }
@@ -133,6 +137,22 @@
 	Left  time.Duration
 }
 
+// Learned is the end of a message that a relay has learned of from an endpoint.
+type Learned struct {
+	Relay int
+	Trace string
+	At    time.Duration
+}
+
+// Resubmission is one request under the id of an earlier one. It counts for no worth.
+type Resubmission struct {
+	Relay    int
+	Trace    string
+	Sent     time.Duration
+	Answered time.Duration // Never if no answer came
+	Status   int
+}
+
 // Pause is a time for which a process stood still.
 type Pause struct{ From, To time.Duration }
 
@@ -241,6 +261,10 @@
 		l.Traffic = append(l.Traffic, x)
 	case Recovered:
 		l.Recovered = append(l.Recovered, x)
+	case Learned:
+		l.Learned = append(l.Learned, x)
+	case *Resubmission:
+		l.Resubmissions = append(l.Resubmissions, x)
 	default:
 		panic(fmt.Sprintf("ledger: no place for %T", x))
 	}
--- a/internal/testbed/load/load.go
+++ b/internal/testbed/load/load.go
@@ -139,10 +139,8 @@
 	if leaves {
 		wait, w.left = a.Leaves, true
 	}
-	status, again, err := 0, time.Duration(0), errAway
-	if l.alive(w.relay) {
-		status, again, err = l.request(h, a, second, wait)
-	}
+	status, again, err := l.request(h, a, second, wait)
+	l.resubmit(h, a)
 	switch {
 	case err == nil && status < 300:
 		return // taken on: what comes of it is the relay's to say
@@ -264,6 +262,10 @@
 		}
 		c.Close()
 	}
+	// While a relay ends its clients come on the connections that stay open, and on no new ones.
+	if !l.alive(relay) {
+		return nil, true, errAway
+	}
 	nc, err := (&net.Dialer{Deadline: by}).DialContext(l.ctx, "tcp4", l.addr(relay))
 	if err != nil {
 		return nil, true, err
--- a/internal/testbed/plan/faults.go
+++ b/internal/testbed/plan/faults.go
@@ -48,7 +48,7 @@
 		f.Building = rng.IntN(len(p.Buildings))
 	}
 	switch x.Kind {
-	case "power", "disk-full", "disk-sick", "disk-slow", "kill", "term", "pause", "replace", "starve", "hostile", "move", "wall-step", "calls", "files", "short":
+	case "power", "disk-full", "disk-sick", "disk-slow", "kill", "term", "pause", "replace", "starve", "hostile", "move", "series", "wall-step", "calls", "files", "short":
 		if share == 0 {
 			share = 1
 		}
--- a/internal/testbed/process/fleet.go
+++ b/internal/testbed/process/fleet.go
@@ -28,8 +28,9 @@
 	termMost  = 3700 * time.Millisecond
 	restartIn = 600 * time.Millisecond
 	// Clients go on coming for so long after SIGTERM, 0.4 s at most.
-	clientsFor = 300 * time.Millisecond
-	yesWithin  = 6 * time.Second // that a process which takes another's place has for its yes
+	clientsFor  = 300 * time.Millisecond
+	seriesPause = 40 * time.Millisecond // between signals in a series
+	yesWithin   = 6 * time.Second       // that a process which takes another's place has for its yes
 )
 
 // Fleet is the relays' processes.
@@ -278,6 +279,8 @@
 		do = func(r int) error { return f.starve(r, x.For) }
 	case "move":
 		do = f.move
+	case "series":
+		do = f.series
 	case "wall-step", "calls", "files", "short":
 		do = func(r int) error { return f.inject(r, x) }
 	default:
@@ -383,6 +386,26 @@
 	return nil
 }
 
+// series has signals come in quick succession, the last of them SIGKILL, and starts the next process.
+func (f *Fleet) series(r int) error {
+	if err := f.move(r); err != nil {
+		return err
+	}
+	p := f.last(r)
+	if p == nil {
+		return nil
+	}
+	f.work.Go(func() {
+		for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP} {
+			if network.Sleep(f.ctx, seriesPause) != nil {
+				return
+			}
+			f.signal(p, s)
+		}
+	})
+	return f.restart(r, syscall.SIGTERM, restartIn, false)
+}
+
 // KeepLogs copies the processes' logs into a folder, which is emptied first.
 func (f *Fleet) KeepLogs(dir string) error {
 	if err := os.RemoveAll(dir); err != nil {
--- a/internal/testbed/process/recovered.go
+++ b/internal/testbed/process/recovered.go
@@ -12,7 +12,16 @@
 	"onyxroad.dev/onyxroad/internal/testbed/ledger"
 )
 
-// Recovered reads from the relays' logs what restarts told of the messages that they found, into the ledger.
+// lifecycleLine is a line of a relay's log on a change of a message's state.
+type lifecycleLine struct {
+	Time     time.Time
+	Trace    string
+	From, To string
+	LeftMS   *int64 `json:"left_ms"`
+}
+
+// Recovered reads from the relays' logs what restarts told of the messages that they found, and the ends that relays learned of,
+// into the ledger.
 func (f *Fleet) Recovered() error {
 	for r, relay := range f.plan.Relays {
 		logs, err := filepath.Glob(filepath.Join(f.dir, relay.Name, "log.*"))
@@ -36,13 +45,14 @@
 	defer file.Close()
 	lines := bufio.NewScanner(file)
 	for lines.Scan() {
-		if !strings.Contains(lines.Text(), `"reason":"recovered"`) {
+		text := lines.Text()
+		if !strings.Contains(text, `"reason":"recovered"`) && !strings.Contains(text, `"from":"out"`) {
 			continue
 		}
-		var line struct {
-			Time   time.Time
-			Trace  string
-			LeftMS *int64 `json:"left_ms"`
+		var line lifecycleLine
+		if json.Unmarshal(lines.Bytes(), &line) == nil && line.From == "out" && (line.To == "delivered" || line.To == "gone") {
+			f.book.Add(ledger.Learned{Relay: r, Trace: line.Trace, At: f.book.At(line.Time)})
+			continue
 		}
 		if err := json.Unmarshal(lines.Bytes(), &line); err != nil || line.LeftMS == nil {
 			continue // cut off by a kill, or of a version of before
--- a/internal/testbed/run/run.go
+++ b/internal/testbed/run/run.go
@@ -173,6 +173,7 @@
 	c.platform.Run(c.offset)
 	var all sync.WaitGroup
 	all.Go(func() { c.load.RunHostile(ctx, c.offset) })
+	all.Go(func() { c.load.RunCrowd(ctx, c.offset) })
 	for i := range c.plan.Faults {
 		all.Go(func() { c.fault(ctx, &c.plan.Faults[i]) })
 	}
--- a/internal/testbed/soak/soak.go
+++ b/internal/testbed/soak/soak.go
@@ -24,8 +24,14 @@
 	together = 0.04 // of the length, within which the troubles of an overlap begin
 	firstAt  = 0.12
 	lastAt   = 0.62
+
+	resubmitted  = 0.25 // of the messages
+	crowdedShare = 0.2  // of the plays
 )
 
+// crowd is how many connections idle clients hold at a relay in a crowded play.
+var crowd = experiment.Of(100, 250)
+
 // troubles are what is drawn from: each is a fault without its moment.
 var troubles = []experiment.Fault{
 	{Kind: "term", Share: experiment.Of(0.2, 0.7)},
@@ -71,6 +77,7 @@
 	x.Fleet.State = []string{"", "", "", "process", "power"}[rng.IntN(5)]
 	x.Load.Hostile, x.Load.Leaves, x.Load.HeavyBody = experiment.Of(1, 6), experiment.Of(0, 0.03), experiment.Of(0, 0.03)
 	x.Partners.Garbled = experiment.Of(0, 0.01)
+	x.Load.Resubmitted = resubmitted
 	for i := range x.Load.Classes { // short, so that a play's end does not wait for them
 		c := &x.Load.Classes[i]
 		c.Deadline = experiment.Duration(min(c.Deadline.D(), 7*time.Second))
@@ -85,9 +92,20 @@
 			x.Faults = append(x.Faults, f)
 		}
 	}
+	drawMore(x, seed)
 	return x
 }
 
+// drawMore draws what came to the soak test later, by itself, so that the troubles of a seed stay what they were.
+func drawMore(x *experiment.Experiment, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0x6d6f7265))
+	if rng.Float64() < crowdedShare {
+		x.Load.Crowd = crowd
+	}
+	at := firstAt + (lastAt-firstAt)*rng.Float64()
+	x.Faults = append(x.Faults, experiment.Fault{Kind: "series", Share: experiment.Of(0.1, 0.4), At: experiment.Of(at, at)})
+}
+
 // Options say what to play.
 type Options struct {
 	Seeds    []uint64
