--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -214,7 +214,7 @@
 	r.byHand.mu.Lock() // no call is lost between the two
 	defer r.byHand.mu.Unlock()
 	err := errors.Join(r.wal.Flush(), r.byHand.keep())
-	if err == nil && !(r.settle(linkFor/2) && r.owed.wait(linkFor/2)) {
+	if err == nil && !(r.settle(linkFor/2) && r.owed.wait(linkFor/2) && len(r.withheld) == 0) {
 		err = errors.New("the disk is behind")
 	}
 	if err == nil {
