--- a/internal/wal/completed.go
+++ b/internal/wal/completed.go
@@ -43,6 +43,9 @@
 	digestBytes    = 12
 	completedBytes = digestBytes + 4 + 1 // digest, expiry, completion
 	completedBatch = 2048                // ends in a record
+
+	// notesMost bounds what refusals add to the notes while the log can't write them.
+	notesMost = 4096
 )
 
 // traceDigest stands for a trace id, whatever its length. Ids of different messages have the same one with a probability that
@@ -173,8 +176,13 @@
 	l.remember(&l.completed, recCompleted, trace, deadline, how)
 }
 
-// TurnAway notes that a request is not taken on.
+// TurnAway notes that a request is not taken on. Where the log has long written nothing, this process alone remembers it.
 func (l *Log) TurnAway(trace string, deadline time.Time, how Completion) {
+	if len(l.notes) >= notesMost {
+		l.turnedAway.put(digestOf(trace), completed{l.expiry(deadline), how})
+		l.pruneCompleted()
+		return
+	}
 	l.remember(&l.turnedAway, recTurnedAway, trace, deadline, how)
 }
 
--- a/internal/wal/completed_test.go
+++ b/internal/wal/completed_test.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"errors"
 	"fmt"
 	"runtime"
 	"testing"
@@ -118,6 +119,37 @@
 	}
 }
 
+func TestRefusalsWhileTheLogFailsTakeABoundedPartOfMemory(t *testing.T) {
+	d := crashdisk.New()
+	l := openKind(t, Options{}.on(d, 1<<20))
+	d.Fail = func(op, _ string) error { return errors.New("input/output error") }
+	for i := range 3 * notesMost {
+		l.TurnAway(fmt.Sprint(i), time.Now(), Refused)
+		if i%256 == 0 {
+			l.Flush()
+		}
+	}
+	if len(l.notes) > notesMost {
+		t.Errorf("%d notes wait", len(l.notes))
+	}
+	if _, ok := l.Completed(fmt.Sprint(3*notesMost - 1)); !ok {
+		t.Error("the last refusal is forgotten")
+	}
+	d.Fail = nil
+	eventuallyTends(t, l)
+	l.Close()
+}
+
+// eventuallyTends waits until the log goes on.
+func eventuallyTends(t *testing.T, l *Log) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !l.Tend(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the log does not go on")
+		}
+	}
+}
+
 // endBytesMost is what an end that is remembered may take of memory.
 const endBytesMost = 100
 
