--- a/internal/testbed/audit/audit_test.go
+++ b/internal/testbed/audit/audit_test.go
@@ -175,6 +175,13 @@
 			w.killed(2501 * time.Millisecond)
 			w.again(safe, 1, 9*sec)
 		}, SentEnded},
+		"refused, and sent by an emptied machine": {func(w *world) {
+			w.unanswered(safe)
+			w.l.HandIns[safe].Status, w.l.HandIns[safe].Answered = 503, 2500*time.Millisecond
+			w.killed(3 * sec)
+			w.l.Lives[len(w.l.Lives)-1].Emptied = true
+			w.again(safe, 1, 9*sec)
+		}, ""},
 		"a restart that takes a message to have more time": {func(w *world) {
 			w.l.Add(ledger.Recovered{Trace: "status", At: 3 * sec, Left: 5 * sec}) // of 3 s
 		}, Moved},
