--- a/internal/relay/lifecycle.go
+++ b/internal/relay/lifecycle.go
@@ -36,7 +36,6 @@
 	reasonNoRoom      reason = "no_room"
 	reasonNoDest      reason = "no_such_destination"
 	reasonLog         reason = "log_not_written"
-	reasonEndedNow    reason = "ended" // by an answer, or with an outcome
 	reasonResubmitted reason = "came_again"
 	reasonSend        reason = "send"
 	reasonRefused     reason = "refused"
