Allow a refusal to be forgotten that a failing disk could not take

Nothing was ever taken on by the first, and the refusal could be put down nowhere; withholding it would leave requests unanswered while a disk fails.

The judge allows just that: files that fail at the refusal and until the process ends, no record of the message found by the next one, and a request that is taken on after that. With any of these apart the rule is broken (cases in the test), so that a refusal of a message which the log holds still counts.

--- a/internal/testbed/audit/audit_test.go
+++ b/internal/testbed/audit/audit_test.go
@@ -65,6 +65,17 @@
 	w.l.Add(&ledger.Life{Relay: 0, Start: 8 * sec, Ready: 8 * sec, Asked: ledger.Never, End: ledger.Never})
 }
 
+// refusedOnAFailingDisk has the first relay refuse a message while its files fail for a time, be killed 2 s later, and send the
+// message when its id comes again.
+func (w *world) refusedOnAFailingDisk(failing time.Duration) {
+	w.unanswered(safe)
+	w.l.HandIns[safe].Status, w.l.HandIns[safe].Answered = 500, 2500*time.Millisecond
+	w.p.Faults = []plan.Fault{{Kind: "files", At: 2 * sec, For: failing, Relays: []int{0}}}
+	w.killed(4500 * time.Millisecond)
+	w.l.Add(&ledger.Resubmission{Trace: "status", Sent: 8900 * time.Millisecond, Deadline: 20 * sec, Answered: 8900 * time.Millisecond, Status: 202})
+	w.again(safe, 1, 9*sec)
+}
+
 // unanswered has a call end with nothing that tells whether it ran.
 func (w *world) unanswered(class int) {
 	c := w.call(class)
@@ -175,6 +186,16 @@
 			w.killed(2501 * time.Millisecond)
 			w.again(safe, 1, 9*sec)
 		}, SentEnded},
+		"refused while the disk failed to the end, and taken on anew": {func(w *world) { w.refusedOnAFailingDisk(3 * sec) }, ""},
+		"the same, but the disk was well before the end":              {func(w *world) { w.refusedOnAFailingDisk(sec) }, SentEnded},
+		"the same, but the next process found it": {func(w *world) {
+			w.refusedOnAFailingDisk(3 * sec)
+			w.l.Add(ledger.Recovered{Trace: "status", At: 8500 * time.Millisecond, Left: w.l.HandIns[safe].Deadline - 8500*time.Millisecond})
+		}, SentEnded},
+		"the same, but nobody handed it in again": {func(w *world) {
+			w.refusedOnAFailingDisk(3 * sec)
+			w.l.Resubmissions = nil
+		}, SentEnded},
 		"refused, and sent by an emptied machine": {func(w *world) {
 			w.unanswered(safe)
 			w.l.HandIns[safe].Status, w.l.HandIns[safe].Answered = 503, 2500*time.Millisecond
