--- a/internal/relay/lifecycle_test.go
+++ b/internal/relay/lifecycle_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"log/slog"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -59,3 +61,35 @@
 		t.Errorf("its life: %s", got)
 	}
 }
+
+func TestATraceIDTellsWhyARequestWasNotSentAgain(t *testing.T) {
+	var out lockedBuffer
+	traced := func(r *Relay) *Relay {
+		r.log, r.traced = slog.New(slog.NewJSONHandler(&out, &slog.HandlerOptions{Level: slog.LevelDebug})), true
+		r.cells[unlistedDest] = true
+		return r
+	}
+	r := traced(newTestRelay(t))
+	handIn := func(left time.Duration) { decide(r, newHandIn("m1", unlistedDest, left)) }
+	handIn(-time.Second) // refused
+	handIn(time.Second)
+	r = traced(restarted(t, r))
+	handIn(time.Second)
+	var again []string
+	for line := range strings.Lines(out.text.String()) {
+		var change struct {
+			Trace, Reason string
+			EndedAs       string `json:"ended_as"`
+			Status, PID   int
+		}
+		if err := json.Unmarshal([]byte(line), &change); err != nil {
+			t.Fatal(err)
+		}
+		if change.Reason == string(reasonResubmitted) {
+			again = append(again, fmt.Sprint(change.Trace, change.EndedAs, change.Status, change.PID == os.Getpid()))
+		}
+	}
+	if want := "m1refused503 true"; len(again) != 2 || again[0] != want || again[1] != want {
+		t.Errorf("told %q", again)
+	}
+}
