Aim kills at failing writes in the soak test, and measure what an end costs

Every play now has a torn write at a drawn time: writes of a fifth to a half of the relays fail, with none, a part or all of their effect, some with a clean-up that fails as well, for 150 to 600 ms, and SIGKILL comes while they do. Before, a failing write and a kill had to meet by chance.

--- a/internal/testbed/plan/faults.go
+++ b/internal/testbed/plan/faults.go
@@ -19,6 +19,9 @@
 	lastFault = 0.9
 )
 
+// TornTail is for how long the files of a torn write go on failing after the kill.
+const TornTail = 300 * time.Millisecond
+
 // faults draws each fault's moment, targets and size.
 func (p *Plan) faults(rng *rand.Rand) {
 	for i, x := range p.Experiment.Faults {
@@ -48,7 +51,7 @@
 		f.Building = rng.IntN(len(p.Buildings))
 	}
 	switch x.Kind {
-	case "power", "disk-full", "disk-sick", "disk-slow", "kill", "term", "pause", "replace", "starve", "hostile", "move", "series", "wall-step", "calls", "files", "short":
+	case "power", "disk-full", "disk-sick", "disk-slow", "kill", "term", "pause", "replace", "starve", "hostile", "move", "series", "wall-step", "calls", "files", "short", "torn-write":
 		if share == 0 {
 			share = 1
 		}
@@ -97,6 +100,9 @@
 	reaches   = []string{"", "part", "all"}
 	wallSteps = []int{-3600, -5, 5, 3600}
 	shortMost = []int{1, 7, 64}
+	// Writes that fail until a kill: with no effect, with some that can or can't be taken away, or now and then.
+	tornWrites = [][]string{{"write EIO 1 "}, {"write EIO 1 part"}, {"write EIO 1 all", "truncate EIO 1 "}, {"write ENOSPC 1 part", "truncate EIO 1 "},
+		{"write EIO 2 "}, {"write EIO 3 all"}}
 )
 
 // every is of how many calls one fails. A broken connection is rare, or nothing would get through.
@@ -119,6 +125,8 @@
 	case "calls":
 		call := pick(rng, socketCalls)
 		return []string{fmt.Sprintf("%s %s %d", call, pick(rng, socketErrs[call]), every(rng, call))}
+	case "torn-write":
+		return pick(rng, tornWrites)
 	case "files":
 		var rules []string
 		for range 1 + rng.IntN(2) { // and what cleans up after it
--- a/internal/testbed/process/fleet.go
+++ b/internal/testbed/process/fleet.go
@@ -281,6 +281,8 @@
 		do = f.move
 	case "series":
 		do = f.series
+	case "torn-write":
+		do = func(r int) error { return f.tornWrite(r, x) }
 	case "wall-step", "calls", "files", "short":
 		do = func(r int) error { return f.inject(r, x) }
 	default:
@@ -406,6 +408,21 @@
 	return f.restart(r, syscall.SIGTERM, restartIn, false)
 }
 
+// tornWrite has a relay's writes fail, kills it while they do, and starts the next process on what that left.
+func (f *Fleet) tornWrite(r int, x *plan.Fault) error {
+	failing := *x
+	failing.For = x.For + plan.TornTail
+	f.work.Go(func() {
+		if err := f.inject(r, &failing); err != nil && f.ctx.Err() == nil {
+			fmt.Fprintf(os.Stderr, "testbed: %s of %s: %v\n", x.Kind, f.plan.Relays[r].Name, err)
+		}
+	})
+	if network.Sleep(f.ctx, x.For) != nil {
+		return nil
+	}
+	return f.restart(r, syscall.SIGKILL, restartIn, false)
+}
+
 // KeepLogs copies the processes' logs into a folder, which is emptied first.
 func (f *Fleet) KeepLogs(dir string) error {
 	if err := os.RemoveAll(dir); err != nil {
--- a/internal/testbed/soak/soak.go
+++ b/internal/testbed/soak/soak.go
@@ -102,8 +102,14 @@
 	if rng.Float64() < crowdedShare {
 		x.Load.Crowd = crowd
 	}
-	at := firstAt + (lastAt-firstAt)*rng.Float64()
-	x.Faults = append(x.Faults, experiment.Fault{Kind: "series", Share: experiment.Of(0.1, 0.4), At: experiment.Of(at, at)})
+	for _, f := range []experiment.Fault{
+		{Kind: "series", Share: experiment.Of(0.1, 0.4)},
+		{Kind: "torn-write", Share: experiment.Of(0.2, 0.5), For: spans(150, 600)},
+	} {
+		at := firstAt + (lastAt-firstAt)*rng.Float64()
+		f.At = experiment.Of(at, at)
+		x.Faults = append(x.Faults, f)
+	}
 }
 
 // Options say what to play.
--- a/internal/wal/completed_test.go
+++ b/internal/wal/completed_test.go
@@ -204,3 +204,34 @@
 		}
 	}
 }
+
+// BenchmarkEnds is what a message costs the log from its acceptance to its end, remembered or not.
+func BenchmarkEnds(b *testing.B) {
+	for name, end := range map[string]func(*Log, *Message){
+		"forgotten": (*Log).End,
+		"remembered": func(l *Log, m *Message) {
+			l.Completed(m.Trace) // as it is handed in
+			l.Completed(m.Trace) // as it is sent
+			l.Complete(m, Delivered)
+		},
+	} {
+		b.Run(name, func(b *testing.B) {
+			l, _, err := OpenWith(Options{}.on(disk.Dir(b.TempDir()), 3_000_000))
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer l.Close()
+			for i := range b.N {
+				m := message(uint32(i + 1))
+				m.Deadline = time.Now().Add(time.Minute)
+				if err := l.Accept(m); err != nil {
+					b.Fatal(err)
+				}
+				end(l, m)
+				if err := l.Flush(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
