--- a/internal/testbed/audit/audit_test.go
+++ b/internal/testbed/audit/audit_test.go
@@ -192,6 +192,10 @@
 			w.refusedOnAFailingDisk(3 * sec)
 			w.l.Add(ledger.Recovered{Trace: "status", At: 8500 * time.Millisecond, Left: w.l.HandIns[safe].Deadline - 8500*time.Millisecond})
 		}, SentEnded},
+		"the same, and a third process found what the second took on": {func(w *world) {
+			w.refusedOnAFailingDisk(3 * sec)
+			w.l.Add(ledger.Recovered{Trace: "status", At: 8950 * time.Millisecond, Left: 20*sec - 8950*time.Millisecond})
+		}, ""},
 		"the same, but nobody handed it in again": {func(w *world) {
 			w.refusedOnAFailingDisk(3 * sec)
 			w.l.Resubmissions = nil
--- a/internal/testbed/ledger/ledger.go
+++ b/internal/testbed/ledger/ledger.go
@@ -135,6 +135,8 @@
 	Trace string
 	At    time.Duration
 	Left  time.Duration
+	// Attempts are those that its relay has on record, those among them that could not connect and reached no endpoint.
+	Attempts int
 }
 
 // Learned is the end of a message that a relay has learned of from an endpoint.
--- a/internal/testbed/process/recovered.go
+++ b/internal/testbed/process/recovered.go
@@ -18,6 +18,7 @@
 	Trace    string
 	From, To string
 	LeftMS   *int64 `json:"left_ms"`
+	Attempts int
 }
 
 // Recovered reads from the relays' logs what restarts told of the messages that they found, and the ends that relays learned of,
@@ -58,7 +59,7 @@
 			continue // cut off by a kill, or of a version of before
 		}
 		f.book.Add(ledger.Recovered{Relay: r, Trace: line.Trace, At: f.book.At(line.Time),
-			Left: time.Duration(*line.LeftMS) * time.Millisecond})
+			Left: time.Duration(*line.LeftMS) * time.Millisecond, Attempts: line.Attempts})
 	}
 	return lines.Err()
 }
