--- a/internal/relay/revoked_test.go
+++ b/internal/relay/revoked_test.go
@@ -58,6 +58,13 @@
 		c.Known.Entries = []json.RawMessage{entry}
 	})
 	up = make(chan struct{})
+	t.Cleanup(func() { // before the relay's own, which waits for its calls
+		select {
+		case <-up:
+		default:
+			close(up)
+		}
+	})
 	dial := r.hosts.dial
 	r.hosts.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		<-up
@@ -83,7 +90,7 @@
 			for c = range r.flying {
 			}
 			if c == nil || len(c.attempts) != 2 {
-				t.Fatalf("%d calls", len(r.flying))
+				t.Fatalf("%d calls, %d held, call %+v", len(r.flying), r.held, c)
 			}
 			a := c.attempts[0]
 			end(r, a)
@@ -97,6 +104,7 @@
 			for ended := false; !ended; {
 				_, ended = r.next().(*callEnd)
 			}
+			settle(t, r, "what was cut off is sent anew", func() bool { return r.out == 0 })
 			if id := a.m.Trace; name != "cut off" && sent(id) {
 				t.Errorf("%s was sent after its end", id)
 			}
