--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -219,11 +219,13 @@
 	version int64
 	more    chan struct{}
 	notices map[string][]string
+	firstAt map[string]time.Time // of the first notice
 }
 
 // NewAgent starts an agent with a list.
 func (r *Rig) NewAgent(servers ...Server) *Agent {
-	a := &Agent{rig: r, list: map[string]Server{}, version: 40, more: make(chan struct{}), notices: map[string][]string{}}
+	a := &Agent{rig: r, list: map[string]Server{}, version: 40, more: make(chan struct{}), notices: map[string][]string{},
+		firstAt: map[string]time.Time{}}
 	for _, s := range servers {
 		a.list[s.ID] = s
 	}
@@ -330,7 +332,9 @@
 			return
 		}
 		a.mu.Lock()
-		a.notices[n.ID] = append(a.notices[n.ID], n.Status)
+		if a.notices[n.ID] = append(a.notices[n.ID], n.Status); len(a.notices[n.ID]) == 1 {
+			a.firstAt[n.ID] = time.Now()
+		}
 		a.mu.Unlock()
 		a.rig.Log("platform: notice %s %s", n.ID, n.Status)
 	}
@@ -344,6 +348,13 @@
 	return append([]string{}, a.notices[id]...)
 }
 
+// FirstNotice returns when the first notice for a message came; zero if none did.
+func (a *Agent) FirstNotice(id string) time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.firstAt[id]
+}
+
 // Call is a call that has arrived whole at an endpoint.
 type Call struct {
 	At       time.Time
@@ -356,7 +367,8 @@
 type Endpoint struct {
 	Server
 	rig     *Rig
-	Handler func(c *Call) int // returns the status of the answer; 0: none is given, the connection stays open
+	Quiet   func(id string) bool // tells of which messages the calls are not written to the record; nil: of none
+	Handler func(c *Call) int    // returns the status of the answer; 0: none is given, the connection stays open
 
 	mu    sync.Mutex
 	calls []*Call
@@ -375,25 +387,58 @@
 		if _, err := io.ReadAll(req.Body); err != nil {
 			return // its last byte has not arrived
 		}
-		c := &Call{At: time.Now(), Endpoint: e, ID: req.Header.Get("X-Trace-Id"), Key: req.Header.Get("Idempotency-Key")}
-		e.mu.Lock()
-		e.calls = append(e.calls, c)
-		e.mu.Unlock()
-		r.Log("%s (%s): call with %s, key %s", id, zone, c.ID, c.Key)
-		status := e.Handler(c)
-		if status == 0 {
-			<-req.Context().Done()
-			r.Log("%s: the relay has given up %s", id, c.ID)
+		if status := e.run(req, req.Header.Get("X-Trace-Id"), req.Header.Get("Idempotency-Key")); status != 0 {
+			w.WriteHeader(status)
+		}
+	})
+	mux.HandleFunc("POST /events/bundle", func(w http.ResponseWriter, req *http.Request) {
+		var items []struct{ ID, Key string }
+		if data, err := io.ReadAll(req.Body); err != nil || json.Unmarshal(data, &items) != nil {
+			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		r.Log("%s: answers %s with %d", id, c.ID, status)
-		w.Header()["Date"] = nil
-		w.WriteHeader(status)
+		type state struct {
+			ID    string `json:"id"`
+			State string `json:"state"`
+		}
+		states := []state{}
+		for _, x := range items {
+			switch e.run(req, x.ID, x.Key) {
+			case 0:
+				return
+			case http.StatusOK:
+				states = append(states, state{x.ID, "ok"})
+			default:
+				states = append(states, state{x.ID, "error"})
+			}
+		}
+		json.NewEncoder(w).Encode(states)
 	})
 	go http.Serve(l, mux)
 	return e
 }
 
+// run runs one message of a call and returns the status of its answer; 0 if the relay gave the call up before there was one.
+func (e *Endpoint) run(req *http.Request, id, key string) int {
+	c := &Call{At: time.Now(), Endpoint: e, ID: id, Key: key}
+	e.mu.Lock()
+	e.calls = append(e.calls, c)
+	e.mu.Unlock()
+	log := e.rig.Log
+	if e.Quiet != nil && e.Quiet(id) {
+		log = func(string, ...any) {}
+	}
+	log("%s (%s): call with %s, key %s", e.ID, e.Zone, id, key)
+	status := e.Handler(c)
+	if status == 0 {
+		<-req.Context().Done()
+		log("%s: the relay has given up %s", e.ID, id)
+		return 0
+	}
+	log("%s: answers %s with %d", e.ID, id, status)
+	return status
+}
+
 // Calls returns the calls that have arrived.
 func (e *Endpoint) Calls() []*Call {
 	e.mu.Lock()
@@ -409,6 +454,18 @@
 	Body                     string
 }
 
+// Request is the request with which a client hands the message in.
+func (m Message) Request() []byte {
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "POST /%s HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Customer: %s\r\nX-Expires-In-Ms: %d\r\n",
+		m.Class, m.ID, m.Class, m.Customer, m.Left.Milliseconds())
+	if m.Key != "" {
+		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", m.Key)
+	}
+	fmt.Fprintf(&b, "Content-Length: %d\r\nEnvelope: dest=%d\r\n\r\n%s", len(m.Body), m.Dest, m.Body)
+	return b.Bytes()
+}
+
 // HandIn hands a message in and returns the status of the answer; 0: none within 400 ms.
 func (r *Rig) HandIn(relay string, m Message) int {
 	conn, err := net.DialTimeout("tcp", relay, 400*time.Millisecond)
@@ -418,14 +475,7 @@
 	}
 	defer conn.Close()
 	conn.SetDeadline(time.Now().Add(400 * time.Millisecond))
-	var b bytes.Buffer
-	fmt.Fprintf(&b, "POST /%s HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Customer: %s\r\nX-Expires-In-Ms: %d\r\n",
-		m.Class, m.ID, m.Class, m.Customer, m.Left.Milliseconds())
-	if m.Key != "" {
-		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", m.Key)
-	}
-	fmt.Fprintf(&b, "Content-Length: %d\r\nEnvelope: dest=%d\r\n\r\n%s", len(m.Body), m.Dest, m.Body)
-	conn.Write(b.Bytes())
+	conn.Write(m.Request())
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		r.Log("client: %s handed in, no answer: %v", m.ID, err)
