--- a/review/case1/main.go
+++ b/review/case1/main.go
@@ -66,7 +66,7 @@
 		r.Start("relay (new)", r.WriteConfig("config2.json", r.Config("n1", listen, admin2, agent, settings)))
 		r.Wait("the new process says yes", 6*time.Second, func() bool { return rig.Get("http://"+admin2+"/api/ready") == 200 })
 		r.Log("the new process has said yes")
-		at(7.1)
+		at(7.3)
 		old.Signal(syscall.SIGTERM)
 		time.AfterFunc(3700*time.Millisecond, func() {
 			if !old.Over() {
--- a/review/case2/main.go
+++ b/review/case2/main.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -64,7 +63,6 @@
 		}
 		for k := range 2 {
 			e := r.NewEndpoint(fmt.Sprintf("s-%02d-%c", d, 'a'+k), []string{"south-bldg", "north-bldg"}[k], kind, d, quick)
-			e.Quiet = func(id string) bool { return strings.HasPrefix(id, "aa") }
 			all, servers = append(all, e), append(servers, e.Server)
 		}
 	}
@@ -139,8 +137,10 @@
 			c := &client{relay: listen}
 			for i := w; i < others; i += workers {
 				time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second / rate)))
-				status := c.handIn(rig.Message{Class: "car-status", Customer: "aspen-pulse", ID: fmt.Sprintf("aa%014x", i),
-					Dest: 6 + i%5, Left: 5 * time.Second, Body: "status"})
+				m := rig.Message{Class: "car-status", Customer: "aspen-pulse", ID: fmt.Sprintf("aa%014x", i),
+					Dest: 6 + i%5, Left: 5 * time.Second, Body: "status"}
+				status := c.handIn(m)
+				r.Log("client: %s (%s) handed in, answer %d", m.ID, m.Class, status)
 				mu.Lock()
 				answers[status]++
 				mu.Unlock()
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -30,18 +31,19 @@
 	procs  []*Proc
 }
 
-// New starts a run. The case's folder is the first argument of the program.
+// New starts a run. The first argument of the program is the file for the record, in the case's folder.
 func New() *Rig {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: PROGRAM CASE-FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: PROGRAM REPOSITORY/review/N/record.txt")
 		os.Exit(2)
 	}
-	folder, err := filepath.Abs(os.Args[1])
+	file, err := filepath.Abs(os.Args[1])
 	if err != nil {
-		panic(err)
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
 	}
-	r := &Rig{Root: filepath.Dir(filepath.Dir(folder)), began: time.Now()}
-	if r.record, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
+	r := &Rig{Root: filepath.Dir(filepath.Dir(filepath.Dir(file))), began: time.Now()}
+	if r.record, err = os.Create(file); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
@@ -49,6 +51,9 @@
 		r.CannotRun("temporary folder: %v", err)
 	}
 	time.AfterFunc(110*time.Second, func() { r.CannotRun("not over after 110 s") })
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() { r.CannotRun("%v", <-stop) }()
 	return r
 }
 
@@ -367,8 +372,7 @@
 type Endpoint struct {
 	Server
 	rig     *Rig
-	Quiet   func(id string) bool // tells of which messages the calls are not written to the record; nil: of none
-	Handler func(c *Call) int    // returns the status of the answer; 0: none is given, the connection stays open
+	Handler func(c *Call) int // returns the status of the answer; 0: none is given, the connection stays open
 
 	mu    sync.Mutex
 	calls []*Call
@@ -424,18 +428,14 @@
 	e.mu.Lock()
 	e.calls = append(e.calls, c)
 	e.mu.Unlock()
-	log := e.rig.Log
-	if e.Quiet != nil && e.Quiet(id) {
-		log = func(string, ...any) {}
-	}
-	log("%s (%s): call with %s, key %s", e.ID, e.Zone, id, key)
+	e.rig.Log("%s (%s): call with %s, key %s", e.ID, e.Zone, id, key)
 	status := e.Handler(c)
 	if status == 0 {
 		<-req.Context().Done()
-		log("%s: the relay has given up %s", e.ID, id)
+		e.rig.Log("%s: the relay has given up %s", e.ID, id)
 		return 0
 	}
-	log("%s: answers %s with %d", e.ID, id, status)
+	e.rig.Log("%s: answers %s with %d", e.ID, id, status)
 	return status
 }
 
