Repeat a keyed message in the zone of its send, not in that of the current list

Cause: the zone in which repeats are dropped belongs to the send, but the module read it from the route at the time of the outcome. A route is an entry of the list, and the list changes while a call is out. A process that adopts a call looks its route up by name and made one in zone 0 if the list had none; where the name was listed in another zone by then, that zone counted, in one process as after a hand-over.

Change: a call has the zone of its send.

--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -65,7 +65,12 @@
 // relay's loop starts.
 func startHandover(t *testing.T, before func(old *Relay)) (old, successor *Relay) {
 	t.Helper()
-	old = newTestRelay(t)
+	return startHandoverOf(t, newTestRelay(t), before)
+}
+
+// startHandoverOf is startHandover of a relay of the test's own.
+func startHandoverOf(t *testing.T, old *Relay, before func(old *Relay)) (_, successor *Relay) {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -76,7 +81,8 @@
 	go old.loop(ctx)
 	end := old.serveHandovers()
 	t.Cleanup(func() { end(); stop(); <-old.loopDone; listener.Close() })
-	if successor, err = New(t.Context(), old.cfg, discardLogger()); err != nil {
+	successor, err = New(t.Context(), old.cfg, discardLogger())
+	if err != nil {
 		t.Fatal(err)
 	}
 	if successor.predecessor == nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -405,7 +405,7 @@
 	}
 	for _, o := range r.inheritedState.Out {
 		if m := r.msgs[o.ID]; m != nil {
-			c := &call{route: o.Route, zone: r.routes[o.Route].Zone, sent: r.started.Add(o.Sent)}
+			c := &call{route: o.Route, zone: m.zoneOfAttempt(o.Attempt), sent: r.started.Add(o.Sent)}
 			r.predecessorAttempts[attemptKey{o.ID, o.Attempt}] = &attempt{call: c, m: m, n: o.Attempt, settled: o.Cut}
 		}
 	}
@@ -419,6 +419,9 @@
 func (r *Relay) resumedEvent(m *message, out *policy.OutstandingAttempt) policy.Event {
 	e := r.acceptedEvent(m)
 	e.Resumed = &policy.ResumedMessage{Attempts: m.Attempts, Outstanding: out}
+	if out != nil {
+		out.Zone = m.zoneOfAttempt(out.Attempt)
+	}
 	ran := slices.DeleteFunc(slices.Clone(m.MayRun), func(a wal.Attempt) bool { return out != nil && a.N == out.Attempt })
 	if len(ran) > 0 {
 		first := ran[0]
@@ -431,6 +434,16 @@
 	return e
 }
 
+// zoneOfAttempt returns the zone to which the log has recorded an attempt. The list does not tell it: the endpoint may
+// have left the list, or be listed elsewhere by now.
+func (m *message) zoneOfAttempt(n int) int {
+	i := slices.IndexFunc(m.MayRun, func(a wal.Attempt) bool { return a.N == n })
+	if i < 0 {
+		return policy.UnknownZone
+	}
+	return m.MayRun[i].Zone
+}
+
 func (r *Relay) acceptedEvent(m *message) policy.Event {
 	return policy.Event{
 		Kind: policy.Accepted, ID: m.ID, Key: m.Order, Class: m.Class, Customer: m.Customer, Destination: m.Dest,
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -58,10 +58,14 @@
 	Call      uint32
 	Attempt   int
 	Route     string
+	Zone      int `json:"-"` // to which it was sent: as recorded at the send, not as listed now; UnknownZone if not recorded
 	Sent      time.Duration
 	TimeoutAt time.Duration `json:"Cut"` // when it times out
 }
 
+// UnknownZone is the zone of an attempt of which no zone was recorded. No route is in it.
+const UnknownZone = -1
+
 // RouteStates returns what this Sender knows of each route.
 func (s *Sender) RouteStates() (states []RouteState) {
 	for _, d := range s.order {
@@ -132,10 +136,13 @@
 	c := s.adoptedCalls[outstanding.Call]
 	if c == nil {
 		r := s.routes[outstanding.Route]
-		if r == nil { // no longer listed
-			r = &route{Listing: Listing{Route: outstanding.Route, Gone: true}, group: &routeGroup{dest: m.dest}}
+		if r == nil || r.Destination != m.dest.id { // no longer listed, or since listed for another destination
+			r = unlistedRoute(outstanding, m.dest)
+		}
+		c = &call{
+			route: r, zone: outstanding.Zone, sent: outstanding.Sent, overdueAt: outstanding.Sent + s.maxAnswerTime(r, overdueDevs),
+			timeoutAt: outstanding.TimeoutAt,
 		}
-		c = &call{route: r, sent: outstanding.Sent, overdueAt: outstanding.Sent + s.maxAnswerTime(r, overdueDevs), timeoutAt: outstanding.TimeoutAt}
 		s.slotsUsed++
 		r.group.callsOut++
 		r.calls = append(r.calls, c)
@@ -147,3 +154,14 @@
 	c.pending++
 	m.outstanding = append(m.outstanding, attempt{outstanding.Attempt, c})
 }
+
+// unlistedRoute returns a route for a call that is out at an endpoint which the list does not name.
+func unlistedRoute(outstanding *OutstandingAttempt, d *dest) *route {
+	return &route{
+		Listing: Listing{Route: outstanding.Route, Destination: d.id, Kind: unknownKind, Zone: outstanding.Zone, Gone: true},
+		group:   &routeGroup{dest: d, kind: unknownKind},
+	}
+}
+
+// unknownKind is the kind of a destination of which no endpoint is listed.
+const unknownKind = -1
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -645,7 +645,7 @@
 	}
 	m.failedRoute = c.route
 	if !m.mayHaveRun || c.sent < m.firstRunAt {
-		s.markMayHaveRun(m, c.sent, c.route.Zone)
+		s.markMayHaveRun(m, c.sent, c.zone)
 	}
 }
 
@@ -806,7 +806,7 @@
 func (s *Sender) startCall(d *dest) {
 	r := d.nextRoute
 	overdueAt := s.now + s.maxAnswerTime(r, overdueDevs)
-	c := &call{route: r, sent: s.now, overdueAt: overdueAt, endsAt: d.next.deadline}
+	c := &call{route: r, zone: r.Zone, sent: s.now, overdueAt: overdueAt, endsAt: d.next.deadline}
 	s.callsStarted++
 	room, firstAction := s.callCapacity(r), len(s.actions)
 	s.addToCall(d.next, c)
--- a/policy/state.go
+++ b/policy/state.go
@@ -81,6 +81,7 @@
 // call is a call without an outcome; messages of one destination may share it.
 type call struct {
 	route     *route
+	zone      int  // of the route at the time of the send: the list may move or remove the route while the call is out
 	pending   int  // messages without an outcome
 	delivered bool // at least one message was delivered
 	sent      time.Duration
