Bind a destination to the wait in the answer of an adopted call's unlisted endpoint

What endpoints saw: after the process was replaced, the answer to a call that was out at an endpoint which had left the list told the relay to wait, and other endpoints of the same destination were called before the wait was over.

Cause: the stand-in route of such a call had a group of its own, although the endpoints of the destination share one.

Change: it belongs to the group that the destination's routes share, if they do, as in a process that has removed the route. Its kind is theirs too: a limit in the answer counted for the first kind of the settings.

Evidence: TestWaitOfUnlistedEndpointBindsItsDestination failed before (sent at once, within the wait of 2 s) and passes now.

--- a/policy/handover.go
+++ b/policy/handover.go
@@ -155,12 +155,20 @@
 	m.outstanding = append(m.outstanding, attempt{outstanding.Attempt, c})
 }
 
-// unlistedRoute returns a route for a call that is out at an endpoint which the list does not name.
+// unlistedRoute returns a route for a call that is out at an endpoint which the list does not name. It belongs to the
+// group that the routes of the destination share, if they do, so that a Retry-After wait in its answer binds them too.
 func unlistedRoute(outstanding *OutstandingAttempt, d *dest) *route {
-	return &route{
+	r := &route{
 		Listing: Listing{Route: outstanding.Route, Destination: d.id, Kind: unknownKind, Zone: outstanding.Zone, Gone: true},
 		group:   &routeGroup{dest: d, kind: unknownKind},
 	}
+	for _, g := range d.groups {
+		r.Kind = g.kind // all endpoints of a destination are of one kind
+		if !g.separate {
+			r.group = g
+		}
+	}
+	return r
 }
 
 // unknownKind is the kind of a destination of which no endpoint is listed.
