Keep the told wait of an endpoint that leaves the list and comes back

What endpoints saw: an endpoint of a kind with separate routes told the relay to wait, left the list and was listed again before the wait was over, and was called at once.

The wait was in the route's group, which a separate route takes along when it is removed; a call that outlived the entry told its wait to that group.

Change: the wait of a separate route that is not listed is kept under its name until it is over, and an answer to a call whose route is not the listed one holds back both. Waits that are over are dropped at the next removal.

--- a/policy/handover.go
+++ b/policy/handover.go
@@ -160,7 +160,7 @@
 func unlistedRoute(outstanding *OutstandingAttempt, d *dest) *route {
 	r := &route{
 		Listing: Listing{Route: outstanding.Route, Destination: d.id, Kind: unknownKind, Zone: outstanding.Zone, Gone: true},
-		group:   &routeGroup{dest: d, kind: unknownKind},
+		group:   &routeGroup{dest: d, kind: unknownKind, separate: true},
 	}
 	for _, g := range d.groups {
 		r.Kind = g.kind // all endpoints of a destination are of one kind
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -125,7 +125,7 @@
 		settings: settings, rng: rand.New(rand.NewPCG(seed, 0x6f6e7978)),
 		routes: map[string]*route{}, leastLimit: map[int]float64{}, dests: map[int]*dest{},
 		connScarceUntil: map[int]time.Duration{}, msgs: map[uint32]*message{},
-		keyQueues: map[string]*keyQueue{}, excluded: map[string]bool{},
+		keyQueues: map[string]*keyQueue{}, excluded: map[string]bool{}, unlistedWaits: map[string]time.Duration{},
 		customerUse: make([]leakyBucket, len(settings.Customers)),
 	}, nil
 }
@@ -165,7 +165,7 @@
 	case Probed:
 		if r := s.routes[e.Route]; r != nil {
 			s.recordLimit(r, e.Report)
-			r.group.waitUntil = max(r.group.waitUntil, s.now+e.RetryAfter)
+			s.holdBack(r, e.RetryAfter)
 			o := sample{outcome: e.Outcome, retryAfter: e.RetryAfter, sent: s.now - e.Took}
 			s.recordOutcome(r, o, e.Took)
 			s.markReady(r.group.dest)
@@ -591,17 +591,17 @@
 
 func (s *Sender) finishAttempt(e *Event) {
 	m := s.msgs[e.ID]
-	r, c := s.routes[e.Route], s.detachAttempt(m, e.Attempt)
-	if c != nil {
-		r = c.route
-	}
-	// A Retry-After wait holds back all messages for the group, not only the one that was told.
-	if r != nil && e.RetryAfter > 0 {
-		r.group.waitUntil = max(r.group.waitUntil, s.now+e.RetryAfter)
+	listed, c := s.routes[e.Route], s.detachAttempt(m, e.Attempt)
+	if listed != nil {
+		s.holdBack(listed, e.RetryAfter)
 	}
 	if c == nil {
 		return
 	}
+	r := c.route
+	if r != listed { // the endpoint has left the list since the send, and may have come back
+		s.holdBack(r, e.RetryAfter)
+	}
 	s.recordLimit(r, e.Report)
 	c.pending--
 	c.delivered = c.delivered || e.Outcome == OK
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"errors"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -146,9 +147,10 @@
 	idleKeyQueues   []*keyQueue       // in the order in which they became idle
 	msgs            map[uint32]*message
 	keyQueues       map[string]*keyQueue
-	leastLimit      map[int]float64       // by kind: the lowest limit reported
-	excluded        map[string]bool       // by an operator, listed or not
-	connScarceUntil map[int]time.Duration // by kind: connections are scarce until then
+	leastLimit      map[int]float64          // by kind: the lowest limit reported
+	excluded        map[string]bool          // by an operator, listed or not
+	unlistedWaits   map[string]time.Duration // ends of the waits of separate routes that have left the list
+	connScarceUntil map[int]time.Duration    // by kind: connections are scarce until then
 	held            int
 	slotsUsed       int
 	callsStarted    uint32
@@ -278,9 +280,31 @@
 	return slices.ContainsFunc(g.routes, func(x *route) bool { return x.suspect })
 }
 
+// holdBack holds back all messages for a route's group during a Retry-After wait, not only the message that was told. 0:
+// there is no wait.
+func (s *Sender) holdBack(r *route, retryAfter time.Duration) {
+	if retryAfter <= 0 {
+		return
+	}
+	r.group.waitUntil = max(r.group.waitUntil, s.now+retryAfter)
+	if r.Gone {
+		s.keepUnlistedWait(r)
+	}
+}
+
+// keepUnlistedWait keeps the wait of a route that has a group of its own and has left the list: the wait binds the
+// endpoint, which may be listed again before the end of the wait.
+func (s *Sender) keepUnlistedWait(r *route) {
+	maps.DeleteFunc(s.unlistedWaits, func(_ string, until time.Duration) bool { return until <= s.now })
+	if r.group.separate && r.group.waitUntil > s.now {
+		s.unlistedWaits[r.Route] = r.group.waitUntil
+	}
+}
+
 // removeRoute forgets a route. Calls that are still out keep a reference to it until their outcomes.
 func (s *Sender) removeRoute(r *route) {
 	r.Gone = true
+	s.keepUnlistedWait(r)
 	delete(s.routes, r.Route)
 	g := r.group
 	if r.suspect {
@@ -307,6 +331,7 @@
 	}
 	r.group = d.groups[len(d.groups)-1]
 	r.group.routes = append(r.group.routes, r)
+	r.group.waitUntil = max(r.group.waitUntil, s.unlistedWaits[r.Route])
 }
 
 func (s *Sender) destination(id int) *dest {
