Do not send a delayed call to where its endpoint was listed before

What endpoints could see: a call that waited for a new connection, or for the disk, was sent as it had been decided although the list had moved the endpoint meanwhile: to another building, where a repeat of a keyed message is not dropped, for another destination, or to another address.

Cause: the check before a delayed call leaves asked whether the route's name may be sent to, not whether it is still what the call was decided for.

Change: the relay compares address, zone and destination too; a call that differs ends as not sent, and the module decides anew. The check of a call that waited for a connection is now the one of a call that waited for the disk.

Evidence: TestCallToEndpointThatMovesDuringConnectIsNotSent failed before for each of the three and passes now.

--- a/internal/relay/durable.go
+++ b/internal/relay/durable.go
@@ -144,7 +144,14 @@
 	for _, a := range c.attempts {
 		ids = append(ids, a.m.ID)
 	}
-	return !r.noSends && clock.Now().Before(c.deadline) && r.sender.StillAllowed(c.route, r.now(), ids...)
+	return !r.noSends && clock.Now().Before(c.deadline) && r.listedAsCalled(c) && r.sender.StillAllowed(c.route, r.now(), ids...)
+}
+
+// listedAsCalled reports whether the list still has a call's endpoint at the address, in the zone and for the destination
+// for which the call was decided.
+func (r *Relay) listedAsCalled(c *call) bool {
+	t, ok := r.routes[c.route]
+	return ok && t.addr == c.addr && t.Zone == c.zone && t.Destination == c.attempts[0].m.Dest
 }
 
 // maintainLog lets the log recover from a failure of the disk, finishes durable steps, and ends the waits of answers and
--- a/internal/relay/execute.go
+++ b/internal/relay/execute.go
@@ -157,12 +157,8 @@
 
 // stillAllowed asks the loop whether a delayed call may still be sent.
 func (r *Relay) stillAllowed(c *call) bool {
-	ids := make([]uint32, 0, len(c.attempts))
-	for _, a := range c.attempts {
-		ids = append(ids, a.m.ID)
-	}
 	reply := make(chan bool, 1)
-	if !r.post(sendCheck{c.route, ids, reply}) {
+	if !r.post(sendCheck{c, reply}) {
 		return false
 	}
 	select {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,8 +64,7 @@
 	}
 	attemptTimeout struct{ a *attempt }
 	sendCheck      struct {
-		route string
-		ids   []uint32
+		call  *call
 		reply chan bool
 	}
 	noticesConfirmed struct{ ids []uint32 } // the platform has accepted these messages' notices
--- a/internal/relay/revoked_test.go
+++ b/internal/relay/revoked_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -78,6 +79,34 @@
 	}
 }
 
+// A call that waited for its connection was sent to where its endpoint had been when the call was decided, though the list
+// had moved it meanwhile: to another building, so that a repeat would not be dropped, or for another destination.
+func TestCallToEndpointThatMovesDuringConnectIsNotSent(t *testing.T) {
+	for name, change := range map[string]map[string]any{
+		"other zone":        {"zone": "b"},
+		"other destination": {"cell": 8},
+		"other address":     {"addr": "127.0.0.1:1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, up, sent := newConnectingRelay(t)
+			stepSubmissions(r, newSubmission("first", 7, 5*time.Second))
+			var c *call
+			for c = range r.inFlight {
+			}
+			entry := map[string]any{"id": "s-1", "addr": c.addr, "zone": "a", "kind": "platform", "cell": 7, "state": "ready", "weight": 500}
+			maps.Copy(entry, change)
+			r.step([]any{List{Version: 2, Entries: []json.RawMessage{entryJSON(entry)}}})
+			close(up)
+			for ended := false; !ended; {
+				_, ended = r.stepNext().(*callFinished)
+			}
+			if c.state.Load() == callWriting || name != "other zone" && sent("first") {
+				t.Error("the call was sent as it had been decided")
+			}
+		})
+	}
+}
+
 func TestMessageEndedDuringConnectIsNotSent(t *testing.T) {
 	for name, end := range map[string]func(r *Relay, a *attempt){
 		"refused":     func(r *Relay, a *attempt) { r.execute([]policy.Action{{Kind: policy.Refuse, ID: a.m.ID}}, nil) },
--- a/internal/relay/step.go
+++ b/internal/relay/step.go
@@ -87,7 +87,7 @@
 		r.execute(nil, waiting)
 	}
 	for _, c := range checks {
-		c.reply <- !r.noSends && r.sender.StillAllowed(c.route, r.now(), c.ids...)
+		c.reply <- r.sendAllowed(c.call)
 	}
 	if r.stopping && !r.drainSignalled && len(r.pendingSteps) == 0 && (r.allFinished() || r.noSends && r.callsOut == 0) {
 		r.drainSignalled = true
