Let a connection to an endpoint settle after an answer before the next call uses it

What callers saw: a message whose call was never answered counted as delivered, or as one that never ran. An endpoint sent its answer twice, and the copy came when the next call had taken the connection and written its request.

Cause: a kept connection was used again at once. Bytes that arrived while it was idle closed it, but nothing tells a copy from the next answer once a request is out, and the check of an idle connection asked its reader and not the system, which may hold bytes that the reader has not seen.

Change: after an answer a connection rests for 50 ms. A call takes one that has settled, or waits for the one that settles first; what arrives meanwhile closes the connection at once. A call that has waited asks the loop again, as after connecting, and right before the request is written the system is asked whether anything has arrived.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -6,6 +6,8 @@
 	"net"
 	"os"
 	"time"
+
+	"onyxroad.dev/onyxroad/internal/sockets"
 )
 
 const (
@@ -78,6 +80,10 @@
 	}()
 }
 
+// unread reports whether the peer has sent something that nobody has read, or has disconnected. It asks the system, where
+// bytes may have arrived that a watch that has just ended did not see. The connection cannot be used any more if so.
+func (c *conn) unread() bool { return c.r.Buffered() > 0 || sockets.Readable(c.Conn) }
+
 // unwatch ends a watch. open is false if the peer has disconnected; quiet is false if it disconnected or sent something.
 func (c *conn) unwatch() (open, quiet bool) {
 	c.SetReadDeadline(pastDeadline)
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -106,25 +106,19 @@
 }
 
 func newHostClient(cfg Config) *hostClient {
-	return &hostClient{pool: newPool(cfg), reportFields: cfg.Reports, guard: invariant.New(slog.Default())}
+	idleTimeout := time.Duration(idleTimeoutRatio * float64(cfg.KeepAlive))
+	conns := newPool(cfg.ConnectTimeout, idleTimeout, cfg.Limits.Sockets*3/8)
+	return &hostClient{pool: conns, reportFields: cfg.Reports, guard: invariant.New(slog.Default())}
 }
 
-// do makes a call and returns the results of its attempts, in their order. If a new connection had to be opened, it calls
+// do makes a call and returns the results of its attempts, in their order. If it had to wait for a connection, it calls
 // allowed before it writes the request.
 func (h *hostClient) do(ctx context.Context, c *call, allowed func() bool) []result {
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	conn, isNew, err := h.get(ctx, peer{c.route, c.addr})
-	switch {
-	case err != nil && isLocalShortage(err):
-		return sameResults(c, result{outcome: policy.NotRun})
-	case err != nil:
-		return sameResults(c, result{outcome: policy.ConnectFailed})
-	}
-	// While the connection was being opened, the host may have announced a drain or a wait.
-	if isNew && !allowed() {
-		conn.release()
-		return sameResults(c, result{outcome: policy.NotRun})
+	conn, outcome := h.connFor(ctx, c, allowed)
+	if conn == nil {
+		return sameResults(c, result{outcome: outcome})
 	}
 	req, err := newRequest(c)
 	if err != nil {
@@ -139,6 +133,28 @@
 	return h.exchange(ctx, req, c, conn)
 }
 
+// connFor returns a connection on which a call may be sent now. If there is none, it returns the outcome of the call.
+func (h *hostClient) connFor(ctx context.Context, c *call, allowed func() bool) (*hostConn, policy.Outcome) {
+	for {
+		conn, delayed, err := h.get(ctx, peer{c.route, c.addr})
+		switch {
+		case err != nil && isLocalShortage(err):
+			return nil, policy.NotRun
+		case err != nil:
+			return nil, policy.ConnectFailed
+		}
+		// While the call waited, the host may have announced a drain or a wait.
+		if delayed && (ctx.Err() != nil || !allowed()) {
+			conn.release()
+			return nil, policy.NotRun
+		}
+		if !conn.hasSurplus() {
+			return conn, 0
+		}
+		conn.discard()
+	}
+}
+
 // exchange writes the request, reads the answer, and releases or discards the connection.
 func (h *hostClient) exchange(ctx context.Context, req *http.Request, c *call, conn *hostConn) []result {
 	// A call that times out or is cancelled stops reading; its connection is then closed.
@@ -156,6 +172,7 @@
 	a := readAnswer(conn, req, several) // a host may answer before the whole request is written
 	if stop() && a.err == nil && written {
 		conn.SetDeadline(time.Time{})
+		conn.answeredAt = clock.Now()
 		conn.release()
 	} else {
 		conn.discard()
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -14,8 +14,13 @@
 	"onyxroad.dev/onyxroad/internal/sockets"
 )
 
-// connRetryInterval is how long a call waits before it tries again to get a connection or a descriptor.
-const connRetryInterval = 20 * time.Millisecond
+const (
+	// connRetryInterval is how long a call waits before it tries again to get a connection or a descriptor.
+	connRetryInterval = 20 * time.Millisecond
+	// settleTime is how long a connection rests after an answer before it carries the next request. A host may send more
+	// than the answer: a second copy of it, or noise. Nothing tells such bytes from the next answer once a request is out.
+	settleTime = 50 * time.Millisecond
+)
 
 var (
 	errTooManyConns = errors.New("outbound connection limit reached, and all connections are in use")
@@ -32,6 +37,7 @@
 	dial           func(ctx context.Context, network, addr string) (net.Conn, error)
 	connectTimeout time.Duration
 	idleTimeout    time.Duration
+	settleTime     time.Duration
 	maxConns       int
 
 	mu     sync.Mutex
@@ -43,28 +49,31 @@
 // hostConn is a connection to a host.
 type hostConn struct {
 	*conn
-	pool      *pool
-	peer      peer
-	idleSince time.Time
-	timer     *time.Timer
+	pool       *pool
+	peer       peer
+	idleSince  time.Time
+	answeredAt time.Time // end of the last answer; zero if there was none
+	timer      *time.Timer
 }
 
-func newPool(cfg Config) *pool {
+func newPool(connectTimeout, idleTimeout time.Duration, maxConns int) *pool {
 	return &pool{
 		dial:           sockets.NewDialer(0).DialContext,
-		connectTimeout: cfg.ConnectTimeout,
-		idleTimeout:    time.Duration(idleTimeoutRatio * float64(cfg.KeepAlive)),
-		maxConns:       cfg.Limits.Sockets * 3 / 8,
+		connectTimeout: connectTimeout,
+		idleTimeout:    idleTimeout,
+		settleTime:     settleTime,
+		maxConns:       maxConns,
 		idle:           map[peer][]*hostConn{},
 	}
 }
 
-// get returns an idle connection to a host, or else opens one, which isNew reports. At the relay's own limits it retries
-// until the connect time-out.
-func (p *pool) get(ctx context.Context, to peer) (c *hostConn, isNew bool, err error) {
+// get returns an idle connection to a host that has settled, or else opens one. delayed reports whether that took time. At
+// the relay's own limits it retries until the connect time-out.
+func (p *pool) get(ctx context.Context, to peer) (c *hostConn, delayed bool, err error) {
 	for c := p.takeIdle(to); c != nil; c = p.takeIdle(to) {
+		waited := c.settle(ctx)
 		if _, quiet := c.unwatch(); quiet && clock.Since(c.idleSince) < p.idleTimeout {
-			return c, false, nil
+			return c, waited, nil
 		}
 		c.discard() // too old, closed by the host, or unexpected bytes were received
 	}
@@ -117,7 +126,8 @@
 	return &hostConn{conn: newConn(nc), pool: p, peer: to}, nil
 }
 
-// takeIdle takes the most recently used idle connection out of the pool; nil if there is none.
+// takeIdle takes the most recently used of the idle connections that have settled out of the pool, or else the one that
+// settles first; nil if there is none.
 func (p *pool) takeIdle(to peer) *hostConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -125,11 +135,47 @@
 	if len(list) == 0 {
 		return nil
 	}
-	c := list[len(list)-1]
+	c := list[0]
+	for _, x := range slices.Backward(list) {
+		if x.settlesIn() <= 0 {
+			c = x
+			break
+		}
+	}
 	p.remove(c)
 	return c
 }
 
+// hasSurplus reports whether a connection that has carried an answer has received more than that. On a new connection a host
+// may answer before it has read a request.
+func (c *hostConn) hasSurplus() bool { return !c.answeredAt.IsZero() && c.unread() }
+
+// settlesIn returns the time until a connection has settled; 0 or less if it has.
+func (c *hostConn) settlesIn() time.Duration {
+	if c.answeredAt.IsZero() {
+		return 0
+	}
+	return c.pool.settleTime - clock.Since(c.answeredAt)
+}
+
+// settle waits until a connection that was idle has settled, the host sends something or disconnects, or ctx ends. It
+// returns false if it did not have to wait.
+func (c *hostConn) settle(ctx context.Context) (waited bool) {
+	rest := c.settlesIn()
+	if rest <= 0 {
+		return false
+	}
+	timer := time.NewTimer(rest)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case err := <-c.watchResult:
+		c.watchResult <- err // for unwatch
+	}
+	return true
+}
+
 // release returns a connection to the pool for the next call, and closes it there if the host closes it or sends
 // anything.
 func (c *hostConn) release() {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -180,3 +180,22 @@
 	}
 	return written, nil
 }
+
+// Readable reports whether a read of a connection would return at once: the peer has sent something, or has disconnected,
+// or the connection has failed. It consumes what it finds. A connection that is no socket of the system is not readable.
+func Readable(c net.Conn) bool {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		_, readErr = syscall.Read(int(fd), make([]byte, 1)) // does not block: package net's sockets are non-blocking
+		return readErr != syscall.EINTR
+	})
+	return err != nil || readErr != syscall.EAGAIN
+}
