Send notices on connections that settle, so that no copy of an answer confirms one

What the platform could see: a notice that it had not taken was never sent again, and its message was lost. A copy of the 204 to one notice came when the next notice was out on the same connection, and was read as its answer.

Cause: as for endpoints; notices went over net/http's transport, which matches whatever comes to the request that is out.

Change: notices go over a pool of the relay's own, as calls to endpoints do, with the same rest of 50 ms after an answer. What writes a request and reads its answer is shared by both (answer.go); notices have a file of their own.

TestSurplusBytesConfirmNoNotice forces five kinds of surplus bytes in one write with the answer, and while the next notice waits for the connection.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -22,13 +21,7 @@
 	maxWatchLine  = 1 << 20
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = time.Second
-	// The platform answers a notice at once, and a notice is late 300 ms after its message's deadline: a dead
-	// connection must not use up that time for the notices that wait behind it. Each time-out doubles the next one, for
-	// when answers are slow.
-	minNoticeTimeout    = 100 * time.Millisecond
-	maxNoticeTimeout    = time.Second
-	maxNoticeRetryDelay = 100 * time.Millisecond // after a request that failed without a time-out
-	fetchTimeout        = time.Second
+	fetchTimeout  = time.Second
 	// A request that fails on this machine puts no load on discovery, so its retry is not spread.
 	localFailureDelay = 50 * time.Millisecond
 	// Requests that are turned away put load on discovery too: a fleet that retries at once keeps it from serving anyone.
@@ -44,8 +37,7 @@
 	// A relay counts as informed at once of what the agent already has: half of the time in which it has to stop
 	// sending to a draining host may pass before it asks.
 	reconnectSpread  = 250 * time.Millisecond
-	servedHeartbeats = 2   // empty lines, sent every 2 s, after which a watch counts as served rather than turned away
-	noticeBatch      = 256 // notices in a request
+	servedHeartbeats = 2 // empty lines, sent every 2 s, after which a watch counts as served rather than turned away
 )
 
 var (
@@ -302,124 +294,3 @@
 	}
 	return res, nil
 }
-
-// noticeSender delivers final notices to the platform and repeats each until it is confirmed.
-type noticeSender struct {
-	log         *slog.Logger
-	agent       *agent
-	onConfirmed func(ids []uint32)
-
-	mu     sync.Mutex
-	queue  []notice
-	signal chan struct{}
-}
-
-// notice tells the platform how a message ended.
-type notice struct {
-	id      uint32
-	ID      string `json:"id"`
-	Status  string `json:"status"`
-	AgainMS int64  `json:"again_ms,omitempty"`
-}
-
-func newNoticeSender(log *slog.Logger, agent *agent, onConfirmed func([]uint32)) *noticeSender {
-	return &noticeSender{log: log, agent: agent, onConfirmed: onConfirmed, signal: make(chan struct{}, 1)}
-}
-
-// add queues notices. It never blocks the loop.
-func (s *noticeSender) add(ns ...notice) {
-	s.mu.Lock()
-	s.queue = append(s.queue, ns...)
-	s.mu.Unlock()
-	select {
-	case s.signal <- struct{}{}:
-	default:
-	}
-}
-
-// run sends queued notices until ctx ends. It repeats a notice that was not confirmed: a duplicate does no harm,
-// whereas a missing one loses a message.
-func (s *noticeSender) run(ctx context.Context) {
-	delay, timeout := minRetryDelay, minNoticeTimeout
-	for {
-		s.mu.Lock()
-		batch := s.queue[:min(len(s.queue), noticeBatch)]
-		s.mu.Unlock()
-		if len(batch) == 0 {
-			select {
-			case <-ctx.Done():
-				return
-			case <-s.signal:
-			}
-			continue
-		}
-		if err := s.post(ctx, batch, timeout); err != nil {
-			s.log.Warn("notices not confirmed", "count", len(batch), "err", err)
-			switch {
-			case errors.Is(err, errAgentMoved):
-				delay = minRetryDelay
-				continue // immediately, at the new address
-			case errors.Is(err, context.DeadlineExceeded):
-				timeout = min(maxNoticeTimeout, 2*timeout)
-				s.agent.client.CloseIdleConnections() // they may be dead too
-				continue                              // without a delay: the time-out was one
-			}
-			select {
-			case <-ctx.Done():
-				return
-			case <-time.After(delay):
-			}
-			delay = min(maxNoticeRetryDelay, 2*delay)
-			continue
-		}
-		delay, timeout = minRetryDelay, minNoticeTimeout
-		ids := make([]uint32, 0, len(batch))
-		for _, n := range batch {
-			ids = append(ids, n.id)
-		}
-		s.mu.Lock()
-		if s.queue = s.queue[len(batch):]; len(s.queue) == 0 {
-			s.queue = nil
-		}
-		s.mu.Unlock()
-		s.onConfirmed(ids)
-	}
-}
-
-func (s *noticeSender) post(ctx context.Context, batch []notice, timeout time.Duration) error {
-	addr, ctx, done := s.agent.session(ctx)
-	defer done()
-	err := s.postTo(ctx, addr, batch, timeout)
-	if cause := context.Cause(ctx); err != nil && cause != nil {
-		return cause
-	}
-	return err
-}
-
-func (s *noticeSender) postTo(ctx context.Context, addr string, batch []notice, timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	var lines bytes.Buffer
-	enc := json.NewEncoder(&lines)
-	for _, n := range batch {
-		if err := enc.Encode(n); err != nil {
-			return err
-		}
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v2/finals", &lines)
-	if err != nil {
-		return err
-	}
-	res, err := s.agent.client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer res.Body.Close()
-	if _, err := io.Copy(io.Discard, io.LimitReader(res.Body, maxBodyBytes)); err != nil {
-		return err
-	}
-	if res.StatusCode != http.StatusNoContent {
-		return fmt.Errorf("platform returned status %s", res.Status)
-	}
-	return nil
-}
--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -1,9 +1,7 @@
 package relay
 
 import (
-	"bufio"
 	"bytes"
-	"cmp"
 	"context"
 	"encoding/base64"
 	"encoding/json"
@@ -11,7 +9,6 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -27,20 +24,8 @@
 // A request that crosses the host's own close ends as a reset, and a reset may have run.
 const idleTimeoutRatio = 0.8
 
-const (
-	// answerReadTimeout bounds the time from the first to the last byte of an answer, as heads and bodies may never end.
-	answerReadTimeout = 500 * time.Millisecond
-	// lateReadTimeout is for an answer that arrives as its call times out: long enough to read what has been received.
-	lateReadTimeout = time.Millisecond
-	// maxReportValue bounds the values of a host's load report.
-	maxReportValue   = 1e9
-	maxInformational = 16 // 1xx answers before one
-)
-
-var (
-	errMalformedAnswer = errors.New("malformed answer")
-	errConnSpent       = errors.New("the answer is complete, but its connection cannot be reused")
-)
+// maxReportValue bounds the values of a host's load report.
+const maxReportValue = 1e9
 
 // hostClient makes outbound calls.
 type hostClient struct {
@@ -155,28 +140,18 @@
 	}
 }
 
-// exchange writes the request, reads the answer, and releases or discards the connection.
+// exchange makes a call on a connection and returns the results of its attempts.
 func (h *hostClient) exchange(ctx context.Context, req *http.Request, c *call, conn *hostConn) []result {
-	// A call that times out or is cancelled stops reading; its connection is then closed.
-	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(pastDeadline) })
 	began := clock.Now()
 	for _, a := range c.attempts {
 		h.guard.CheckDeadline(a.m.Trace, c.route, a.m.Deadline.Sub(began))
 	}
-	err := writeRequest(conn, req)
-	written := err == nil
-	if written && h.onWritten != nil {
-		h.onWritten(c)
-	}
 	several := len(c.attempts) > 1
-	a := readAnswer(conn, req, several) // a host may answer before the whole request is written
-	if stop() && a.err == nil && written {
-		conn.SetDeadline(time.Time{})
-		conn.answeredAt = clock.Now()
-		conn.release()
-	} else {
-		conn.discard()
-	}
+	a := conn.roundTrip(ctx, req, several, func() {
+		if h.onWritten != nil {
+			h.onWritten(c)
+		}
+	})
 	if a.firstByteAt.IsZero() {
 		a.firstByteAt = clock.Now()
 	}
@@ -188,7 +163,7 @@
 		r.outcome = policy.OK // the status line alone decides
 	case malformed:
 		// No host starts work before it has the last byte of a request. Once that is written, the call may have run.
-		r.outcome = failureOutcome(ctx, written)
+		r.outcome = failureOutcome(ctx, a.written)
 	case a.head.StatusCode == http.StatusOK:
 		return bundleResults(c, r, a.body)
 	default:
@@ -197,103 +172,6 @@
 	return sameResults(c, r)
 }
 
-// writeRequest writes a request in a single write.
-func writeRequest(conn *hostConn, req *http.Request) error {
-	var text bytes.Buffer
-	if err := req.Write(&text); err != nil {
-		return err
-	}
-	_, err := conn.Write(text.Bytes())
-	return err
-}
-
-// hostAnswer is what was received in answer to a call.
-type hostAnswer struct {
-	head        *http.Response // of a malformed answer perhaps only the status line; nil if not even that is readable
-	body        []byte         // only of an answer to a bundle
-	err         error          // not nil if the answer is incomplete or its connection cannot be reused
-	firstByteAt time.Time      // zero if nothing was received
-}
-
-// readAnswer reads the answer to a single message or, if several is set, to a bundle.
-func readAnswer(conn *hostConn, req *http.Request, several bool) (a hostAnswer) {
-	conn.allow(maxHeadBytes)
-	_, a.err = conn.r.Peek(1)
-	if errors.Is(a.err, os.ErrDeadlineExceeded) {
-		// Past its deadline a connection returns not even what it has received. A Retry-After in it still binds.
-		conn.SetReadDeadline(clock.Now().Add(lateReadTimeout))
-		_, a.err = conn.r.Peek(1)
-	}
-	if a.err != nil {
-		return a
-	}
-	// If the call times out at this moment, this replaces its deadline and extends the read by answerReadTimeout at most.
-	a.firstByteAt = clock.Now()
-	conn.SetReadDeadline(a.firstByteAt.Add(answerReadTimeout))
-	for range maxInformational {
-		var line []byte
-		if line, a.err = peekLine(conn.r); a.err != nil {
-			return a
-		}
-		if a.head, a.err = http.ReadResponse(conn.r, req); a.err != nil {
-			a.head = parseStatusLine(line, req)
-			return a
-		}
-		if a.head.StatusCode >= 200 {
-			a.body, a.err = readAnswerBody(conn, a.head, several)
-			return a
-		}
-		a.head = nil
-	}
-	a.err = errMalformedAnswer
-	return a
-}
-
-// peekLine returns the first line that is received, without consuming it.
-func peekLine(r *bufio.Reader) ([]byte, error) {
-	for {
-		ahead, _ := r.Peek(r.Buffered())
-		if i := bytes.IndexByte(ahead, '\n'); i >= 0 {
-			return bytes.Clone(ahead[:i+1]), nil
-		}
-		if _, err := r.Peek(len(ahead) + 1); err != nil {
-			return nil, err // bufio.ErrBufferFull if the line is too long
-		}
-	}
-}
-
-// parseStatusLine parses a status line without its head; nil if it is malformed.
-func parseStatusLine(line []byte, req *http.Request) *http.Response {
-	head, err := http.ReadResponse(bufio.NewReader(io.MultiReader(bytes.NewReader(line), strings.NewReader("\r\n"))), req)
-	if err != nil {
-		return nil
-	}
-	return head
-}
-
-// readAnswerBody reads an answer's body. It also returns an error if the connection cannot be reused.
-func readAnswerBody(conn *hostConn, head *http.Response, several bool) (body []byte, err error) {
-	if head.ContentLength > maxBodyBytes {
-		return nil, errMalformedAnswer
-	}
-	conn.allow(maxWireBytes)
-	rest := io.LimitReader(head.Body, maxBodyBytes+1)
-	if several && head.StatusCode == http.StatusOK {
-		if body, err = io.ReadAll(rest); err == nil && len(body) > maxBodyBytes {
-			err = errMalformedAnswer
-		}
-	} else if n, copyErr := io.Copy(io.Discard, rest); copyErr != nil || n > maxBodyBytes {
-		err = cmp.Or(copyErr, errMalformedAnswer)
-	}
-	switch {
-	case err != nil:
-		return nil, err
-	case conn.r.Buffered() > 0, head.Close, head.ContentLength < 0 && len(head.TransferEncoding) == 0:
-		return body, errConnSpent
-	}
-	return body, nil
-}
-
 // failureOutcome returns the outcome of a call without a complete answer.
 func failureOutcome(ctx context.Context, written bool) policy.Outcome {
 	switch {
--- /dev/null
+++ b/internal/relay/surplus_discovery_test.go
@@ -0,0 +1,111 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+)
+
+const noticeAnswer = "HTTP/1.1 204 No Content\r\n\r\n"
+
+// A copy of the answer to one notice confirmed the next one, though the platform had not taken that.
+func TestSurplusBytesConfirmNoNotice(t *testing.T) {
+	surplus := map[string][]string{
+		"copy": {noticeAnswer}, "copy in pieces": {"HTTP/1.1 20", "4 No Content\r\n\r\n"}, "noise": {"noise"}, "empty line": {"\r\n"},
+		"other answer": {errorAnswer},
+	}
+	for name, pieces := range surplus {
+		t.Run(name+", in one write", func(t *testing.T) {
+			testSurplusAfterNotice(t, noticeAnswer+pieces[0], pieces[1:])
+		})
+		t.Run(name+", while the next one waits", func(t *testing.T) {
+			testSurplusAfterNotice(t, noticeAnswer, pieces)
+		})
+	}
+}
+
+// testSurplusAfterNotice answers one notice and sends surplus bytes while the next one waits for the connection. The
+// platform does not take the second one at first.
+func testSurplusAfterNotice(t *testing.T, answer string, pieces []string) {
+	first := make(chan net.Conn, 1)
+	posts := make(chan int, 16)
+	addr, _ := rawHost(t, func(n int, conn net.Conn, _ *http.Request) bool {
+		posts <- n
+		switch n {
+		case 1:
+			fmt.Fprint(conn, answer)
+			first <- conn
+			return true
+		case 2:
+			return false
+		}
+		fmt.Fprint(conn, noticeAnswer)
+		return true
+	})
+	confirmed := make(chan []uint32, 16)
+	s := newNoticeSender(discardLogger(), newAgent(addr), func(ids []uint32) { confirmed <- ids })
+	s.conns.settleTime = testTimeout
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go s.run(ctx)
+	s.add(notice{id: 1, ID: "a", Status: "undeliverable"})
+	if ids := <-confirmed; len(ids) != 1 || ids[0] != 1 {
+		t.Fatalf("confirmed %v", ids)
+	}
+	conn := <-first
+	s.add(notice{id: 2, ID: "b", Status: "undeliverable"})
+	eventually(t, "the next notice waits for the connection, or has found it closed", func() bool {
+		s.conns.mu.Lock()
+		defer s.conns.mu.Unlock()
+		return len(s.conns.idle) == 0
+	})
+	go sendPieces(t, conn, pieces)
+	select {
+	case <-confirmed:
+		if n := len(posts); n < 3 {
+			t.Errorf("confirmed after %d requests, of which the platform took the first", n)
+		}
+	case <-time.After(testTimeout):
+		t.Error("the second notice was never confirmed")
+	}
+}
+
+// The copy comes a millisecond after the answer, when the next notice is already known.
+func TestCopyJustAfterNoticeAnswerConfirmsNothing(t *testing.T) {
+	for range 10 {
+		var taken sync.Map // ids of notices that the platform answered
+		addr, _ := rawHost(t, func(n int, conn net.Conn, _ *http.Request) bool {
+			if n == 2 {
+				time.Sleep(3 * time.Millisecond)
+				return false
+			}
+			taken.Store(uint32(min(n, 2)), true)
+			fmt.Fprint(conn, noticeAnswer)
+			time.AfterFunc(time.Millisecond, func() { fmt.Fprint(conn, noticeAnswer) })
+			return true
+		})
+		confirmed := make(chan uint32, 16)
+		var s *noticeSender
+		s = newNoticeSender(discardLogger(), newAgent(addr), func(ids []uint32) {
+			for _, id := range ids {
+				if _, ok := taken.Load(id); !ok {
+					t.Errorf("notice %d is confirmed, and the platform has not taken it", id)
+				}
+				confirmed <- id
+			}
+			if ids[0] == 1 {
+				s.add(notice{id: 2, ID: "b", Status: "undeliverable"})
+			}
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		s.add(notice{id: 1, ID: "a", Status: "undeliverable"})
+		go s.run(ctx)
+		<-confirmed
+		<-confirmed
+		cancel()
+	}
+}
