Request each list and each watch on a connection of its own

What the relay did: a list that came twice was read as the answer to the watch that was requested on the same connection next.

Change: the transport keeps none. Lists are requested at a start, after a line that can't be read and when discovery moves, so that this costs a connection there and nothing else.

Evidence: TestSurplusListIsNotTheNextAnswer failed before (the watch was requested twice) and passes now.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -61,7 +61,9 @@
 		DialContext:        sockets.NewDialer(time.Second).DialContext,
 		DisableCompression: true,
 		MaxConnsPerHost:    4,
-		IdleConnTimeout:    30 * time.Second,
+		// Keeps no connection for the next request: a list that came twice would be read as the answer to that. Unlike
+		// DisableKeepAlives it does not ask the agent to close the connection.
+		MaxIdleConnsPerHost: -1,
 	}}}
 	a.moved, a.endMoved = context.WithCancel(context.Background())
 	return a
@@ -77,7 +79,6 @@
 	a.addr = addr
 	a.endMoved()
 	a.moved, a.endMoved = context.WithCancel(context.Background())
-	a.client.CloseIdleConnections()
 }
 
 // session returns the agent's address and a context for requests there, which ends with ctx, when the agent moves, or
--- a/internal/relay/surplus_discovery_test.go
+++ b/internal/relay/surplus_discovery_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -109,3 +110,45 @@
 		cancel()
 	}
 }
+
+// A list that came twice was read as the answer to the watch that followed, which ended at once.
+func TestSurplusListIsNotTheNextAnswer(t *testing.T) {
+	const body = `{"version":7,"full":true,"servers":[]}`
+	list := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	var mu sync.Mutex
+	var requests []string
+	addr, _ := rawHost(t, func(_ int, conn net.Conn, req *http.Request) bool {
+		mu.Lock()
+		requests = append(requests, req.URL.RequestURI())
+		mu.Unlock()
+		if !strings.Contains(req.URL.RawQuery, "stream") {
+			fmt.Fprint(conn, list)
+			time.AfterFunc(time.Millisecond, func() { fmt.Fprint(conn, list) })
+			return true
+		}
+		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		line := `{"version":8,"full":false,"servers":[]}` + "\n"
+		time.Sleep(5 * time.Millisecond)
+		fmt.Fprintf(conn, "%x\r\n%s\r\n", len(line), line)
+		<-t.Context().Done()
+		return false
+	})
+	lists := make(chan List, 16)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	w := watcher{
+		log: discardLogger(), agent: newAgent(addr), timeout: testTimeout, needFull: true,
+		onList: func(l List) { lists <- l }, sleep: sleep, now: time.Now,
+	}
+	go w.run(ctx)
+	for _, want := range []int64{7, 8} {
+		if l := <-lists; l.Version != want {
+			t.Fatalf("got version %d, want %d", l.Version, want)
+		}
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if len(requests) != 2 {
+		t.Errorf("requests %q", requests)
+	}
+}
