Ignore a line of a watch that comes after a newer one

What the relay did: when an earlier line of a watch came a second time after a newer one, the endpoint that it names went back to its earlier state, a draining one to ready, and the list to its earlier version.

Cause: lines were applied as they came; versions were compared with a fetched list alone.

Change: within one watch a line with a lower version than the line before it is dropped. A watch's first line may have any version: discovery may have moved.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -219,6 +219,7 @@
 	lines.Buffer(nil, maxWatchLine)
 	heartbeats := 0
 	fetched := int64(math.MinInt64) // version of the last full list that was fetched during the watch
+	newest := int64(math.MinInt64)  // version of the last line of the watch
 	for lines.Scan() {
 		silence.Reset(w.timeout)
 		w.missedSince = w.now()
@@ -228,7 +229,8 @@
 				// The line would be as malformed on each retry. Fetch the full list instead.
 				w.log.Warn("malformed line in the watch", "err", err)
 				w.needFull = true
-			} else if l.Version > fetched { // older changes are contained in the full list
+			} else if l.Version > fetched && l.Version >= newest { // older changes are in the full list, or come a second time
+				newest = l.Version
 				w.deliver(l)
 			}
 		} else if heartbeats++; heartbeats >= servedHeartbeats {
--- a/internal/relay/surplus_discovery_test.go
+++ b/internal/relay/surplus_discovery_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -152,3 +154,33 @@
 		t.Errorf("requests %q", requests)
 	}
 }
+
+// A second copy of an earlier line of a watch put an endpoint back to its earlier state, and the list to its version.
+func TestWatchIgnoresCopiesOfEarlierLines(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		for _, version := range []int{5, 6, 5, 6, 7} {
+			fmt.Fprintf(w, `{"version":%d,"full":false,"servers":[]}`+"\n", version)
+		}
+		io.WriteString(w, "\n")
+		w.(http.Flusher).Flush()
+		<-req.Context().Done()
+	}))
+	defer s.Close()
+	lists := make(chan List, 16)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	defer func() { cancel(); <-ended }()
+	w := watcher{
+		log: discardLogger(), agent: newAgent(addrOf(s)), timeout: testTimeout, version: 4,
+		onList: func(l List) { lists <- l }, sleep: sleep, now: time.Now,
+	}
+	go func() { w.run(ctx); close(ended) }()
+	last := int64(4)
+	for last < 7 {
+		l := <-lists
+		if l.Version < last {
+			t.Errorf("version %d after version %d", l.Version, last)
+		}
+		last = l.Version
+	}
+}
