Take a message of a bundle for in doubt if its answer gives two different states

What an endpoint could see: the answer to a call with several messages gave a message twice, as ok and as later, and the relay sent it again as one that never ran: an unsafe one too.

Cause: of states with one id the last one counted.

Change: an id with different states has none that can be read: the message may have run. States that come twice and agree, and those of other messages, change nothing, as before.

--- a/internal/relay/hosts.go
+++ b/internal/relay/hosts.go
@@ -261,21 +261,12 @@
 	return policy.Error, false // 500 and unknown codes: the call may have run
 }
 
-// bundleResults reads the state of each message of a bundle. A message whose state is missing or unreadable may have run.
+// bundleResults reads the state of each message of a bundle. A message whose state is missing, unreadable or given twice with
+// different values may have run.
 func bundleResults(c *call, r result, body []byte) []result {
 	unread := r
 	unread.outcome = policy.Error
-	var raw []json.RawMessage
-	if json.Unmarshal(body, &raw) != nil {
-		raw = nil
-	}
-	states := make(map[string]string, len(raw))
-	for _, x := range raw {
-		var item struct{ ID, State string }
-		if json.Unmarshal(x, &item) == nil {
-			states[item.ID] = item.State
-		}
-	}
+	states := bundleStates(body)
 	results := sameResults(c, unread)
 	for i, a := range c.attempts {
 		switch states[a.m.Trace] {
@@ -294,6 +285,26 @@
 	return results
 }
 
+// bundleStates returns the states in the answer to a bundle by id. An id with different states has none of them.
+func bundleStates(body []byte) map[string]string {
+	var raw []json.RawMessage
+	if json.Unmarshal(body, &raw) != nil {
+		return nil
+	}
+	states := make(map[string]string, len(raw))
+	for _, x := range raw {
+		var item struct{ ID, State string }
+		if json.Unmarshal(x, &item) != nil {
+			continue
+		}
+		if earlier, twice := states[item.ID]; twice && earlier != item.State {
+			item.State = ""
+		}
+		states[item.ID] = item.State
+	}
+	return states
+}
+
 // parseReport reads a host's load report. Fields that are invalid or not configured are ignored.
 func (h *hostClient) parseReport(text string) policy.Report {
 	var rep policy.Report
--- a/internal/relay/surplus_test.go
+++ b/internal/relay/surplus_test.go
@@ -174,3 +174,24 @@
 	}
 	done.Wait()
 }
+
+// An answer to a bundle may bring states of other messages, and states twice. The last one counted, so that a message with an
+// "ok" was sent again as one that never ran.
+func TestSurplusStatesInBundleAnswer(t *testing.T) {
+	const a, b = `{"id":"a","state":"ok"}`, `{"id":"b","state":"error"}`
+	for body, want := range map[string][2]policy.Outcome{
+		"[" + a + "," + b + "]":                                  {policy.OK, policy.Error},
+		"[" + a + "," + b + "," + a + "," + b + "]":              {policy.OK, policy.Error},
+		"[" + a + "," + b + `,{"id":"c","state":"later"}]`:       {policy.OK, policy.Error},
+		"[" + a + "," + b + `,{"id":"a","state":"later"}]`:       {policy.Error, policy.Error},
+		"[" + a + "," + b + `,{"id":"b","state":"exhausted"}]`:   {policy.OK, policy.Error},
+		`[{"id":"a","state":"later"},` + a + "," + b + "]":       {policy.Error, policy.Error},
+		"[" + a + "," + b + `,"noise",7,null,{"state":"later"}]`: {policy.OK, policy.Error},
+		"[" + a + "," + b + "][" + a + "," + b + "]":             {policy.Error, policy.Error}, // not JSON
+	} {
+		results := bundleResults(newCall("", "a", "b"), result{outcome: policy.OK}, []byte(body))
+		if results[0].outcome != want[0] || results[1].outcome != want[1] {
+			t.Errorf("%s: outcomes %v and %v, want %v", body, results[0].outcome, results[1].outcome, want)
+		}
+	}
+}
