Tell by its number which request an answer of a steward belongs to

What a holder could do: take the copy of one renewal's answer for the answer to the next, and hold a duty beyond the lease that the stewards know of.

Cause: as for endpoints; connections to stewards are kept, and net/http takes what comes for the answer to the request that is out.

Change: a request has a number, which the steward repeats in its answer; one with another number is an error, and is retried as any other. An answer without a number, of a steward of an earlier version, counts as before.

Evidence: TestCopyOfAnswerIsNotTheNextAnswer sends the copy once the next request is read; it failed before (renewed twice of two) and passes now. TestAnswerRepeatsTheNumberOfItsRequest shows the steward's side.

--- a/internal/duty/call/call.go
+++ b/internal/duty/call/call.go
@@ -42,6 +42,7 @@
 
 	HeaderCluster = "Steward-Cluster"
 	HeaderEra     = "Steward-Era"
+	HeaderRequest = "Steward-Request" // number of a request, repeated in its answer
 
 	// Limits of a request.
 	MaxBodyBytes = 64 << 10
@@ -338,6 +339,8 @@
 	if err != nil {
 		return "", err
 	}
+	number := strconv.FormatUint(rand.Uint64(), 16)
+	req.Header.Set(HeaderRequest, number)
 	res, err := c.http.Do(req)
 	if err != nil {
 		return "", err
@@ -347,6 +350,10 @@
 	if err != nil {
 		return "", err
 	}
+	if answered := res.Header.Get(HeaderRequest); answered != "" && answered != number { // stewards of earlier versions do not repeat it
+		c.http.CloseIdleConnections()
+		return "", fmt.Errorf("%s: the answer belongs to another request", addr)
+	}
 	if err := c.checkEra(addr, res.Header.Get(HeaderEra)); err != nil {
 		return "", err
 	}
--- a/internal/duty/call/call_test.go
+++ b/internal/duty/call/call_test.go
@@ -1,6 +1,8 @@
 package call
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -45,3 +47,47 @@
 		t.Errorf("%d bytes counted, the steward saw %d", c.Bytes(), seen.Load())
 	}
 }
+
+// A copy of the answer that extended one lease was read as the answer to the next renewal, which the steward had not made.
+func TestCopyOfAnswerIsNotTheNextAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		last := ""
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			for requests := bufio.NewReader(conn); ; {
+				req, err := http.ReadRequest(requests)
+				if err != nil {
+					break
+				}
+				io.Copy(io.Discard, req.Body)
+				io.WriteString(conn, last) // the copy crosses with this request
+				if last != "" {
+					conn.Close()
+					last = ""
+					break
+				}
+				const body = `{"held":[{"duty":"d","epoch":7,"ok":true}]}`
+				last = fmt.Sprintf("HTTP/1.1 200 OK\r\nSteward-Era: 1\r\nSteward-Request: %s\r\nContent-Length: %d\r\n\r\n%s",
+					req.Header.Get(HeaderRequest), len(body), body)
+				io.WriteString(conn, last)
+			}
+		}
+	}()
+	c := NewClient(nil, nil)
+	defer c.Close()
+	for i := range 4 {
+		var out RenewOut
+		_, err := c.DoAt(t.Context(), l.Addr().String(), PathRenew, RenewIn{Holder: "n1", Held: []Held{{Duty: "d", Epoch: 7}}}, &out, 0)
+		if renewed := err == nil && len(out.Held) == 1 && out.Held[0].OK; renewed != (i%2 == 0) {
+			t.Errorf("request %d: renewed %v, %v", i, renewed, err)
+		}
+	}
+}
--- a/internal/duty/steward/api.go
+++ b/internal/duty/steward/api.go
@@ -102,6 +102,9 @@
 		cluster, era := s.id.cluster()
 		w.Header().Set(call.HeaderCluster, cluster)
 		w.Header().Set(call.HeaderEra, fmt.Sprint(era))
+		if number := r.Header.Get(call.HeaderRequest); number != "" {
+			w.Header().Set(call.HeaderRequest, number)
+		}
 		if err == nil {
 			json.NewEncoder(w).Encode(out)
 			return
--- a/internal/duty/steward/steward_test.go
+++ b/internal/duty/steward/steward_test.go
@@ -321,6 +321,27 @@
 	{call.PathJoin, `{"id":"x/y","listen":"no","api":"no"}`}, {call.PathRemove, `{"id":"nobody"}`}, {call.PathBegin, `{}`},
 }
 
+// A client tells by it which request an answer belongs to.
+func TestAnswerRepeatsTheNumberOfItsRequest(t *testing.T) {
+	all, _ := startCluster(t, 1)
+	defer all[0].stop()
+	for _, path := range []string{call.PathStewards, call.PathLeads} { // one that any steward answers, and one that may fail
+		req, err := http.NewRequest(http.MethodGet, "http://"+all[0].cfg.API+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set(call.HeaderRequest, "17")
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res.Body.Close()
+		if got := res.Header.Get(call.HeaderRequest); got != "17" {
+			t.Errorf("%s: number %q", path, got)
+		}
+	}
+}
+
 func TestBadRequestsGetA4xx(t *testing.T) {
 	all, _ := startCluster(t, 1)
 	defer all[0].stop()
