Show that hand-over frames which come twice count once

The link between two processes that hand over is a connection on which answers are read, too. Answers and outcomes are told apart by their numbers there, so that a copy changes nothing: held before this test.

--- a/internal/relay/surplus_test.go
+++ b/internal/relay/surplus_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"onyxroad.dev/onyxroad/internal/wal"
 	"onyxroad.dev/onyxroad/policy"
 )
 
@@ -195,3 +196,30 @@
 		}
 	}
 }
+
+// Between two processes that hand over, an answer or an outcome that comes twice counts once.
+func TestRepeatedHandoverFramesCountOnce(t *testing.T) {
+	link := newHandoverLink(nil)
+	in := &submission{m: &wal.Message{}, reply: make(chan answer, 2)}
+	link.pending[1] = in
+	link.resolve(forwardedAnswer{Seq: 1, ID: 7, Status: http.StatusAccepted})
+	link.resolve(forwardedAnswer{Seq: 1, ID: 8, Status: http.StatusServiceUnavailable})
+	if a := <-in.reply; a.status != http.StatusAccepted || in.m.ID != 7 || len(in.reply) != 0 {
+		t.Errorf("answer %+v for message %d, %d more", a, in.m.ID, len(in.reply))
+	}
+
+	r := newTestRelay(t)
+	r.knownDests[unlistedDest] = true
+	stepSubmissions(r, newSubmission("m", unlistedDest, 5*time.Second))
+	m := r.byTrace["m"]
+	m.outstanding, m.MayRun = 1, []wal.Attempt{{N: 0, Host: "s-1"}}
+	r.predecessorAttempts[attemptKey{m.ID, 0}] = &attempt{call: &call{route: "s-1"}, m: m}
+	outcome := forwardedOutcome{ID: m.ID, N: 0, Outcome: policy.Timeout}
+	if evs := r.applyForwardedOutcome(nil, outcome); len(evs) != 1 {
+		t.Errorf("%d events for the outcome", len(evs))
+	}
+	outcome.Outcome = policy.ConnectFailed
+	if evs := r.applyForwardedOutcome(nil, outcome); len(evs) != 0 || len(m.MayRun) != 1 || m.outstanding != 0 {
+		t.Errorf("%d events for its copy, %d attempts that may have run, %d out", len(evs), len(m.MayRun), m.outstanding)
+	}
+}
