--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -19,7 +19,7 @@
 	connRetryInterval = 20 * time.Millisecond
 	// settleTime is how long a connection rests after an answer before it carries the next request. A host may send more
 	// than the answer: a second copy of it, or noise. Nothing tells such bytes from the next answer once a request is out.
-	settleTime = 50 * time.Millisecond
+	settleTime = 25 * time.Millisecond
 )
 
 var (
