Have the testbed bring surplus answers, and endpoints that leave the list under calls

Change: the fault hang-gone has endpoints hang and leave the list within a second, while a share of the relays is replaced; the fault surplus has answers of endpoints and agents followed by a copy, another answer or noise, in one write, in pieces, or 0.3 to 4 ms later, as it would look at an endpoint whose network takes longer than that.

--- a/internal/testbed/experiment/experiment.go
+++ b/internal/testbed/experiment/experiment.go
@@ -208,12 +208,14 @@
 	"reset":      "Size of the calls have their connection reset after they are written",
 	"answers":    "Size of the answers are lost together with their connection",
 	"silent":     "Size of the answers never arrive, and their connection stays open",
+	"surplus":    "Size of the answers of partners and discovery are followed by a copy, another answer or noise while no request is out on the connection",
 	"slow":       "calls at partners take Size times as long",
 	"tail":       "Size of one class's messages take 20 times as long",
 	"errors":     "partners fail Size of their calls immediately",
 	"shut":       "partners refuse all calls",
 	"down":       "partners' machines are down: connections are refused",
 	"hang":       "partners accept calls and answer none",
+	"hang-gone":  "Share of the endpoints hang for For and leave the list meanwhile; Size of the relays are then replaced while their calls are out there",
 	"limits":     "partners lower their limits to Size",
 	"release":    "Share of the endpoints are replaced step by step over For",
 	"power":      "relays' machines lose power and restart after For: unsynced data may be lost or kept",
@@ -263,7 +265,7 @@
 func FaultKindNames() []string { return slices.Sorted(maps.Keys(FaultKinds)) }
 
 // kindsWithShare lists the kinds of fault that need a share.
-var kindsWithShare = []string{"power", "disk-full", "disk-sick", "disk-slow", "kill", "term", "pause", "replace", "starve", "wall-step", "calls", "files", "short", "slow", "errors", "shut", "down", "hang", "limits", "release"}
+var kindsWithShare = []string{"power", "disk-full", "disk-sick", "disk-slow", "kill", "term", "pause", "replace", "starve", "wall-step", "calls", "files", "short", "slow", "errors", "shut", "down", "hang", "hang-gone", "limits", "release"}
 
 // Read reads an experiment from a file.
 func Read(path string) (*Experiment, error) {
--- a/internal/testbed/network/path.go
+++ b/internal/testbed/network/path.go
@@ -38,6 +38,7 @@
 	Reorder   float64       // share of datagrams that are delayed by one more Delay, at least 5 ms
 	Reset     float64       // share of calls whose connection is reset
 	Silent    float64       // share of answers that never arrive although the connection stays open
+	Surplus   float64       // share of answers that are followed by more bytes
 	Cut       bool          // nothing arrives: streams stall until the cut ends, datagrams are lost
 }
 
@@ -119,6 +120,13 @@
 	return p.conditions[d].Silent > 0 && p.rng.Float64() < p.conditions[d].Silent
 }
 
+// AddsSurplus draws whether an answer is followed by more bytes.
+func (p *Path) AddsSurplus(d Direction) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conditions[d].Surplus > 0 && p.rng.Float64() < p.conditions[d].Surplus
+}
+
 // drawDatagram draws the delay of each copy of a datagram that arrives; none if it is lost.
 func (p *Path) drawDatagram(d Direction) (copies []time.Duration) {
 	p.mu.Lock()
--- a/internal/testbed/plan/faults.go
+++ b/internal/testbed/plan/faults.go
@@ -15,6 +15,12 @@
 	successorLead = 1500 * time.Millisecond
 	// A draining endpoint ends after this time.
 	drainTime = 3500 * time.Millisecond
+	// Steps of the fault "hang-gone", from its start: the endpoint drains, leaves the list, and relays are replaced. News of
+	// the list takes hangNews to reach an agent.
+	hangDrains   = 500 * time.Millisecond
+	hangLeaves   = time.Second
+	hangReplaced = 1300 * time.Millisecond
+	hangNews     = 100 * time.Millisecond
 	// faultsEnd is the share of the run's length by which every fault has started and, if it has a duration, ended, so that
 	// the run shows the recovery from it.
 	faultsEnd = 0.9
@@ -79,7 +85,10 @@
 		}
 	case "release":
 		p.drawRelease(rng, &f, share)
-	case "loss", "delay", "reset", "answers", "silent":
+	case "hang-gone":
+		p.drawHangGone(rng, f, share)
+		return
+	case "loss", "delay", "reset", "answers", "silent", "surplus":
 		f.Relays = p.pickRelays(rng, cmp.Or(share, 1), f.Building)
 	case "slow", "errors", "shut", "down", "hang", "limits":
 		f.Partners, f.Endpoints = p.pickPartners(rng, spec, share, f.Building)
@@ -196,23 +205,50 @@
 
 // drawRelease replaces a share of the endpoints step by step.
 func (p *Plan) drawRelease(rng *rand.Rand, f *Fault, share float64) {
-	var candidates []int
-	for i := range p.Endpoints {
-		if p.Endpoints[i].Drains == 0 {
-			candidates = append(candidates, i)
-		}
-	}
-	rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
-	candidates = candidates[:max(1, int(share*float64(len(candidates))+0.5))]
+	candidates := p.pickEndpoints(rng, share, p.Length)
 	for k, i := range candidates {
 		at := f.At + time.Duration(float64(f.For)*float64(k)/float64(len(candidates)))
 		old := &p.Endpoints[i]
 		old.Drains, old.Gone = at+successorLead, at+successorLead+drainTime
-		next := *old
-		next.ID, next.Added, next.Drains, next.Gone = fmt.Sprintf("s-%08x", rng.Uint32()), max(at, 1), 0, 0
 		f.Endpoints = append(f.Endpoints, i)
-		d := &p.Partners[next.Partner]
-		d.Endpoints = append(d.Endpoints, len(p.Endpoints))
-		p.Endpoints = append(p.Endpoints, next)
+		p.addSuccessor(rng, i, at)
+	}
+}
+
+// drawHangGone has a share of the endpoints hang and leave the list meanwhile, and replaces relays once they have been told.
+// Calls that were sent just before are then out at an endpoint that no list names.
+func (p *Plan) drawHangGone(rng *rand.Rand, f Fault, share float64) {
+	for _, i := range p.pickEndpoints(rng, share, 0) {
+		old := &p.Endpoints[i]
+		old.Drains, old.Gone, old.Ends, old.News = f.At+hangDrains, f.At+hangLeaves, f.At+f.For, hangNews
+		f.Endpoints = append(f.Endpoints, i)
+		next := p.addSuccessor(rng, i, f.At)
+		next.News = hangNews
 	}
+	p.Faults = append(p.Faults, f)
+	replace := Fault{Kind: "replace", At: f.At + hangReplaced, Building: -1}
+	replace.Relays = p.pickRelays(rng, f.Size, -1)
+	p.Faults = append(p.Faults, replace)
+}
+
+// pickEndpoints draws a share, at least one, of the endpoints that nothing else replaces and that are added by a time.
+func (p *Plan) pickEndpoints(rng *rand.Rand, share float64, addedBy time.Duration) []int {
+	var candidates []int
+	for i := range p.Endpoints {
+		if p.Endpoints[i].Drains == 0 && p.Endpoints[i].Added <= addedBy {
+			candidates = append(candidates, i)
+		}
+	}
+	rng.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	return candidates[:min(len(candidates), max(1, int(share*float64(len(candidates))+0.5)))]
+}
+
+// addSuccessor adds an endpoint that takes the place of another one from a time on.
+func (p *Plan) addSuccessor(rng *rand.Rand, old int, at time.Duration) *Endpoint {
+	next := p.Endpoints[old]
+	next.ID, next.Added, next.Drains, next.Gone, next.Ends, next.News = fmt.Sprintf("s-%08x", rng.Uint32()), max(at, 1), 0, 0, 0, 0
+	d := &p.Partners[next.Partner]
+	d.Endpoints = append(d.Endpoints, len(p.Endpoints))
+	p.Endpoints = append(p.Endpoints, next)
+	return &p.Endpoints[len(p.Endpoints)-1]
 }
--- a/internal/testbed/plan/plan.go
+++ b/internal/testbed/plan/plan.go
@@ -75,10 +75,15 @@
 	Capacity float64       // calls per second
 	Conns    int           // most connections; 0: no limit
 	Added    time.Duration // when discovery first lists it; 0: from the start
-	Gone     time.Duration // when it has ended; 0: never
+	Gone     time.Duration // when it has left the list; 0: never
 	Drains   time.Duration // when it starts to drain; 0: never
+	Ends     time.Duration // when its machine ends, if it outlasts Gone; 0: with Gone
+	News     time.Duration // how long news of it takes to reach an agent; 0: as discovery usually takes
 }
 
+// EndsAt returns when the endpoint's machine ends; 0: never.
+func (e *Endpoint) EndsAt() time.Duration { return cmp.Or(e.Ends, e.Gone) }
+
 // Class is a message class with its drawn figures.
 type Class struct {
 	experiment.Class
--- a/internal/testbed/platform/discovery.go
+++ b/internal/testbed/platform/discovery.go
@@ -67,6 +67,9 @@
 	silenced    bool
 	extraDelay  time.Duration
 	heldChanges []entry // changes that came while the agent was silenced
+
+	surplusShare float64 // of the answers that are followed by a copy
+	conns        idleConns
 }
 
 func newAgent(x *Platform, relay int) (*agent, error) {
@@ -100,7 +103,7 @@
 	mux.HandleFunc("GET /catalog/members", a.handleMembers)
 	mux.HandleFunc("POST /v2/finals", a.handleNotices)
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second,
-		BaseContext: func(net.Listener) context.Context { return a.platform.ctx }}
+		BaseContext: func(net.Listener) context.Context { return a.platform.ctx }, ConnContext: withConn, ConnState: a.conns.setState}
 	a.servers = append(a.servers, s)
 	a.platform.wg.Go(func() { s.Serve(l) })
 	return nil
@@ -126,6 +129,9 @@
 		for state, at := range map[string]time.Duration{"ready": e.Added, "draining": e.Drains, "gone": e.Gone} {
 			if at > 0 {
 				d := changeDelay[state]
+				if e.News > 0 {
+					d = [2]time.Duration{e.News, e.News}
+				}
 				all = append(all, change{at + d[0] + time.Duration(a.rng.Float64()*float64(d[1]-d[0])), i, state})
 			}
 		}
@@ -254,7 +260,9 @@
 		a.mu.Lock()
 		l := a.fullList()
 		a.mu.Unlock()
-		enc.Encode(l)
+		if enc.Encode(l) == nil {
+			a.addSurplus(req, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
 		return
 	}
 	var after int64
@@ -340,4 +348,5 @@
 		}
 	}
 	w.WriteHeader(http.StatusNoContent)
+	a.addSurplus(req, "HTTP/1.1 204 No Content\r\n\r\n")
 }
--- a/internal/testbed/platform/endpoint.go
+++ b/internal/testbed/platform/endpoint.go
@@ -440,7 +440,13 @@
 	b.Write(body)
 	x.conn.SetWriteDeadline(time.Now().Add(time.Second))
 	at := x.platform.ledger.Now()
+	var more surplus
+	if x.path.AddsSurplus(network.Inbound) {
+		more = drawSurplus(b.String())
+	}
+	b.WriteString(more.joined)
 	_, err := io.WriteString(x.conn, b.String())
+	more.send(x.platform, x.conn, func() bool { return true }) // by its path's delays, the next request is still on its way
 	x.platform.ledger.Update(func() {
 		if call.Status, call.Written = status, at; err != nil {
 			call.Status, call.Written = 0, ledger.Never
--- a/internal/testbed/platform/partner.go
+++ b/internal/testbed/platform/partner.go
@@ -263,7 +263,7 @@
 	sc.recentCalls = slices.DeleteFunc(sc.recentCalls, func(a arrival) bool { return a.at < now-window })
 	capacity := 0.0
 	for _, e := range sc.endpoints {
-		if at := &s.plan.Endpoints[e]; at.Added <= now-s.offset && (at.Gone == 0 || at.Gone > now-s.offset) {
+		if at := &s.plan.Endpoints[e]; at.Added <= now-s.offset && (at.EndsAt() == 0 || at.EndsAt() > now-s.offset) {
 			capacity += s.capacity(e, now)
 		}
 	}
@@ -321,7 +321,7 @@
 			e.refusing = true
 		case "down":
 			e.down = true
-		case "hang":
+		case "hang", "hang-gone":
 			e.hanging = true
 		}
 	}
--- a/internal/testbed/platform/platform.go
+++ b/internal/testbed/platform/platform.go
@@ -168,7 +168,7 @@
 			}
 		}
 		schedule(e.Added, func() { s.open() })
-		schedule(e.Gone, s.close)
+		schedule(e.EndsAt(), s.close)
 	}
 	for _, a := range x.agents {
 		x.wg.Go(func() { a.followPlan(offset) })
@@ -200,17 +200,18 @@
 // BeginFault starts a fault of partners, the network or discovery. It returns false if f is none of these.
 func (x *Platform) BeginFault(f *plan.Fault) (bool, error) {
 	switch f.Kind {
-	case "slow", "tail", "errors", "shut", "hang", "limits":
+	case "slow", "tail", "errors", "shut", "hang", "hang-gone", "limits":
 		x.partners.beginFault(f, x.ledger.Now())
 	case "down":
 		x.partners.beginFault(f, x.ledger.Now())
 		for _, e := range f.Endpoints {
 			x.servers[e].close()
 		}
-	case "cut", "one-way", "loss", "delay", "reset", "answers", "silent":
+	case "cut", "one-way", "loss", "delay", "reset", "answers", "silent", "surplus":
 		x.mu.Lock()
 		x.activeFaults = append(x.activeFaults, f)
 		x.mu.Unlock()
+		x.updateAgentSurplus()
 		return true, x.updatePaths(f)
 	case "quiet", "late-news":
 		for _, a := range x.agents {
@@ -227,7 +228,7 @@
 // EndFault ends a fault that BeginFault has started.
 func (x *Platform) EndFault(f *plan.Fault) error {
 	switch f.Kind {
-	case "slow", "tail", "errors", "shut", "hang", "limits":
+	case "slow", "tail", "errors", "shut", "hang", "hang-gone", "limits":
 		x.partners.endFault(f, x.ledger.Now())
 	case "down":
 		x.partners.endFault(f, x.ledger.Now())
@@ -236,7 +237,7 @@
 			errs = append(errs, x.servers[e].open())
 		}
 		return errors.Join(errs...)
-	case "cut", "one-way", "loss", "delay", "reset", "answers", "silent":
+	case "cut", "one-way", "loss", "delay", "reset", "answers", "silent", "surplus":
 		x.mu.Lock()
 		for i := range x.activeFaults {
 			if x.activeFaults[i] == f {
@@ -245,6 +246,7 @@
 			}
 		}
 		x.mu.Unlock()
+		x.updateAgentSurplus()
 		return x.updatePaths(f)
 	case "quiet", "late-news":
 		for _, a := range x.agents {
@@ -329,6 +331,8 @@
 			c[network.Inbound].Reset = max(c[network.Inbound].Reset, f.Size)
 		case "silent":
 			c[network.Inbound].Silent = max(c[network.Inbound].Silent, f.Size)
+		case "surplus":
+			c[network.Inbound].Surplus = max(c[network.Inbound].Surplus, f.Size)
 		}
 	}
 	return c
--- a/internal/testbed/soak/soak.go
+++ b/internal/testbed/soak/soak.go
@@ -112,6 +112,21 @@
 		f.At = experiment.NewRange(at, at)
 		x.Faults = append(x.Faults, f)
 	}
+	drawListAndAnswers(x, seed)
+}
+
+// drawListAndAnswers draws endpoints that leave the list under calls, and answers that bring more than belongs to them, again
+// from a source of their own.
+func drawListAndAnswers(x *experiment.Experiment, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 0x616e7377657273))
+	for _, f := range []experiment.Fault{
+		{Kind: "hang-gone", Share: experiment.NewRange(0.15, 0.35), Size: experiment.NewRange(0.4, 0.8), For: milliRange(4000, 6000)},
+		{Kind: "surplus", Share: experiment.NewRange(0.5, 1), Size: experiment.NewRange(0.1, 0.4), For: milliRange(3000, 7000)},
+	} {
+		at := firstOverlapAt + (lastOverlapAt-firstOverlapAt)*rng.Float64()
+		f.At = experiment.NewRange(at, at)
+		x.Faults = append(x.Faults, f)
+	}
 }
 
 // Options configures a soak test.
