--- a/policy/policy.go
+++ b/policy/policy.go
@@ -125,8 +125,8 @@
 		settings: settings, rng: rand.New(rand.NewPCG(seed, 0x6f6e7978)),
 		routes: map[string]*route{}, leastLimit: map[int]float64{}, dests: map[int]*dest{},
 		connScarceUntil: map[int]time.Duration{}, msgs: map[uint32]*message{},
-		keyQueues: map[string]*keyQueue{}, excluded: map[string]bool{}, unlistedWaits: map[string]time.Duration{},
-		customerUse: make([]leakyBucket, len(settings.Customers)),
+		keyQueues: map[string]*keyQueue{}, excluded: map[string]bool{},
+		unlistedWaits: map[string]time.Duration{}, customerUse: make([]leakyBucket, len(settings.Customers)),
 	}, nil
 }
 
