Count a connection that was given back unused as idle since its last answer

What could happen: a call that was called off after it had taken a kept connection gave it back as if it had just been used. The connection could then outlast the time after which its host closes it, and a request on it ended as a reset, which may have run.

Change: idle time counts from the last answer, or from the opening of the connection, whoever takes it in between.

Evidence: TestUnusedConnectionKeepsItsIdleTime failed before and passes now.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -43,6 +43,7 @@
 	if stop() && a.err == nil && a.written {
 		c.SetDeadline(time.Time{})
 		c.answeredAt = clock.Now()
+		c.idleSince = c.answeredAt
 		c.release()
 	} else {
 		c.discard()
--- a/internal/relay/hosts_test.go
+++ b/internal/relay/hosts_test.go
@@ -344,6 +344,34 @@
 	}
 }
 
+// A connection that was taken and given back unused counted as used, and so could outlast the host's limit: a request on it
+// then ended as a reset, which may have run.
+func TestUnusedConnectionKeepsItsIdleTime(t *testing.T) {
+	addr, _ := rawHost(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+		fmt.Fprint(conn, okAnswer)
+		return true
+	})
+	h := newTestHostClient(t, testConfig())
+	h.do(t.Context(), newCall(addr, "a"), alwaysAllowed)
+	to := peer{"s-1", addr}
+	used, _, err := h.get(t.Context(), to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	idleSince := used.idleSince
+	used.release()
+	again, _, err := h.get(t.Context(), to)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again != used || !again.idleSince.Equal(idleSince) {
+		t.Errorf("idle since %v, and after an unused release since %v", idleSince, again.idleSince)
+	}
+	again.idleSince = time.Now().Add(-h.idleTimeout)
+	again.release()
+	eventually(t, "the connection is closed at its idle limit", func() bool { h.mu.Lock(); defer h.mu.Unlock(); return h.open == 0 })
+}
+
 func TestConnectionsAreBounded(t *testing.T) {
 	ok := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
 	one, two := httptest.NewServer(ok), httptest.NewServer(ok)
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -51,7 +51,7 @@
 	*conn
 	pool       *pool
 	peer       peer
-	idleSince  time.Time
+	idleSince  time.Time // end of the last answer, or when it was opened
 	answeredAt time.Time // end of the last answer; zero if there was none
 	timer      *time.Timer
 }
@@ -123,7 +123,7 @@
 		p.mu.Unlock()
 		return nil, fmt.Errorf("connect: %w", err)
 	}
-	return &hostConn{conn: newConn(nc), pool: p, peer: to}, nil
+	return &hostConn{conn: newConn(nc), pool: p, peer: to, idleSince: clock.Now()}, nil
 }
 
 // takeIdle takes the most recently used of the idle connections that have settled out of the pool, or else the one that
@@ -186,7 +186,6 @@
 		p.discard(c)
 		return
 	}
-	c.idleSince = clock.Now()
 	dropIdle := func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
@@ -194,8 +193,10 @@
 			p.discard(c)
 		}
 	}
-	c.timer = time.AfterFunc(p.idleTimeout, dropIdle)
-	p.idle[c.peer] = append(p.idle[c.peer], c)
+	c.timer = time.AfterFunc(p.idleTimeout-clock.Since(c.idleSince), dropIdle)
+	list := p.idle[c.peer]
+	place, _ := slices.BinarySearchFunc(list, c, func(a, b *hostConn) int { return a.idleSince.Compare(b.idleSince) })
+	p.idle[c.peer] = slices.Insert(list, place, c)
 	c.watch(dropIdle)
 }
 
