Pass the time-out of an outstanding call on to the next process

What the relay did: after a hand-over, a call that was out and failed counted as one that had been given too little time, so that its endpoint was not skipped however silent it was.

Cause: the time-out and a mark of the attempt that wraps it had the same name in JSON, and the outer one hid it.

Change: the time-out has a name of its own. Processes of earlier versions neither send nor read it, as before.

Evidence: TestOutstandingAttemptSurvivesEncoding failed before and passes now.

--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"testing"
 	"time"
@@ -36,6 +37,23 @@
 	}
 }
 
+// The time-out of a call that is out got lost on the way to the next process, to which each failure of such a call then looked
+// like one of a call that had been given too little time.
+func TestOutstandingAttemptSurvivesEncoding(t *testing.T) {
+	attempt := policy.OutstandingAttempt{Call: 3, Attempt: 2, Route: "s-1", Sent: time.Second, TimeoutAt: 3 * time.Second}
+	for _, cut := range []bool{false, true} {
+		want := outstandingAttempt{attempt, 7, cut}
+		data, err := json.Marshal(want)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got outstandingAttempt
+		if err := json.Unmarshal(data, &got); err != nil || got != want {
+			t.Errorf("%+v became %+v, %v", want, got, err)
+		}
+	}
+}
+
 // A step of the wall clock during a hand-over must change neither the module's clock nor the time that a forwarded
 // message has left.
 func TestHandoverSurvivesWallClockStep(t *testing.T) {
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -60,7 +60,7 @@
 	Route     string
 	Zone      int `json:"-"` // to which it was sent: as recorded at the send, not as listed now; UnknownZone if not recorded
 	Sent      time.Duration
-	TimeoutAt time.Duration `json:"Cut"` // when it times out
+	TimeoutAt time.Duration // when it times out; 0 from a process of an earlier version
 }
 
 // UnknownZone is the zone of an attempt of which no zone was recorded. No route is in it.
