--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -192,10 +192,12 @@
 	if err != nil {
 		return true
 	}
-	var readErr error
+	readErr := error(syscall.EINTR)
 	err = raw.Read(func(fd uintptr) bool {
-		_, readErr = syscall.Read(int(fd), make([]byte, 1)) // does not block: package net's sockets are non-blocking
-		return readErr != syscall.EINTR
+		for readErr == syscall.EINTR {
+			_, readErr = syscall.Read(int(fd), make([]byte, 1)) // does not block: package net's sockets are non-blocking
+		}
+		return true
 	})
 	return err != nil || readErr != syscall.EAGAIN
 }
