Test surplus bytes after a bundle's answer, on lists and at stewards in all their forms

After a bundle's answer, in one write with it and while the next call waits, and a list that comes twice in one write, nothing was wrong on the code as it is; the old code was not run on them. Of the four forms at stewards the ones that name another request fail without the check of the number; noise never passed.

--- a/internal/duty/call/call_test.go
+++ b/internal/duty/call/call_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 )
 
 // countingListener counts the bytes of its connections at the server's side.
@@ -50,6 +53,18 @@
 
 // A copy of the answer that extended one lease was read as the answer to the next renewal, which the steward had not made.
 func TestCopyOfAnswerIsNotTheNextAnswer(t *testing.T) {
+	for name, surplus := range map[string]func(answer string) []string{
+		"copy":         func(answer string) []string { return []string{answer} },
+		"in pieces":    func(answer string) []string { return []string{answer[:20], answer[20:]} },
+		"other status": func(answer string) []string { return []string{strings.Replace(answer, "200 OK", "409 Conflict", 1)} },
+		"noise":        func(string) []string { return []string{"noise\r\n"} },
+	} {
+		t.Run(name, func(t *testing.T) { testSurplusAfterAnswer(t, surplus) })
+	}
+}
+
+// testSurplusAfterAnswer answers every other request, and sends surplus bytes once the one after it is read.
+func testSurplusAfterAnswer(t *testing.T, surplus func(answer string) []string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -68,8 +83,11 @@
 					break
 				}
 				io.Copy(io.Discard, req.Body)
-				io.WriteString(conn, last) // the copy crosses with this request
 				if last != "" {
+					for _, piece := range surplus(last) { // they cross with this request
+						io.WriteString(conn, piece)
+						time.Sleep(time.Millisecond)
+					}
 					conn.Close()
 					last = ""
 					break
@@ -86,7 +104,8 @@
 	for i := range 4 {
 		var out RenewOut
 		_, err := c.DoAt(t.Context(), l.Addr().String(), PathRenew, RenewIn{Holder: "n1", Held: []Held{{Duty: "d", Epoch: 7}}}, &out, 0)
-		if renewed := err == nil && len(out.Held) == 1 && out.Held[0].OK; renewed != (i%2 == 0) {
+		var refusal *Refusal
+		if renewed := err == nil && len(out.Held) == 1 && out.Held[0].OK; renewed != (i%2 == 0) || errors.As(err, &refusal) {
 			t.Errorf("request %d: renewed %v, %v", i, renewed, err)
 		}
 	}
--- a/internal/relay/surplus_discovery_test.go
+++ b/internal/relay/surplus_discovery_test.go
@@ -115,6 +115,11 @@
 
 // A list that came twice was read as the answer to the watch that followed, which ended at once.
 func TestSurplusListIsNotTheNextAnswer(t *testing.T) {
+	t.Run("in one write", func(t *testing.T) { testSurplusList(t, true) })
+	t.Run("just after", func(t *testing.T) { testSurplusList(t, false) })
+}
+
+func testSurplusList(t *testing.T, joined bool) {
 	const body = `{"version":7,"full":true,"servers":[]}`
 	list := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	var mu sync.Mutex
@@ -124,6 +129,10 @@
 		requests = append(requests, req.URL.RequestURI())
 		mu.Unlock()
 		if !strings.Contains(req.URL.RawQuery, "stream") {
+			if joined {
+				fmt.Fprint(conn, list+list)
+				return true
+			}
 			fmt.Fprint(conn, list)
 			time.AfterFunc(time.Millisecond, func() { fmt.Fprint(conn, list) })
 			return true
--- a/internal/relay/surplus_test.go
+++ b/internal/relay/surplus_test.go
@@ -90,6 +90,38 @@
 	}
 }
 
+// What follows the answer to a bundle is not the answer to the next call either: in one write with it, or while that waits.
+func TestSurplusBytesAfterBundleAnswer(t *testing.T) {
+	answer := bundleAnswer(`[{"id":"a","state":"ok"},{"id":"b","state":"later"}]`)
+	for name, pieces := range surplusBytes {
+		for mode, joined := range map[string]int{"in one write": 1, "while the next call waits": 0} {
+			t.Run(name+", "+mode, func(t *testing.T) {
+				text := answer
+				if joined > 0 {
+					text += pieces[0]
+				}
+				addr, first := surplusHost(t, text)
+				h := newTestHostClient(t, testConfig())
+				h.settleTime = testTimeout
+				if r := h.do(t.Context(), newCall(addr, "a", "b"), alwaysAllowed); r[0].outcome != policy.OK || r[1].outcome != policy.Full {
+					t.Errorf("outcomes %v and %v of the bundle", r[0].outcome, r[1].outcome)
+				}
+				outcomes := make(chan policy.Outcome, 1)
+				go func() { outcomes <- h.do(t.Context(), newCall(addr, "next"), alwaysAllowed)[0].outcome }()
+				eventually(t, "the next call has the connection, or none is kept", func() bool {
+					h.mu.Lock()
+					defer h.mu.Unlock()
+					return len(h.idle) == 0
+				})
+				sendPieces(t, <-first, pieces[joined:])
+				if got := <-outcomes; got != policy.Error {
+					t.Errorf("outcome %v of a call that ended with an error", got)
+				}
+			})
+		}
+	}
+}
+
 // The surplus bytes arrive once the connection has settled and the next call only waits for the loop's word.
 func TestSurplusBytesBeforeRequestIsWritten(t *testing.T) {
 	for name, pieces := range surplusBytes {
