--- /dev/null
+++ b/review/rig2/main.go
@@ -0,0 +1,52 @@
+// Command review2 plays one case of the second review: review2 CASE RECORD, from the repository's root. It ends with 1 if the rule was
+// broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0 in the environment it leaves the disruption out.
+package main
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"time"
+)
+
+var cases = map[string]func(*rig){}
+
+func main() {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		var names []string
+		for name := range cases {
+			names = append(names, name)
+		}
+		sort.Strings(names)
+		fmt.Fprintln(os.Stderr, "usage: review2 CASE RECORD; the cases are", strings.Join(names, ", "))
+		os.Exit(2)
+	}
+	record, err := os.Create(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	root, err := os.Getwd()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	r := &rig{root: root, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0", record: record}
+	if r.temp, err = os.MkdirTemp("", "review"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	time.AfterFunc(110*time.Second, func() { r.cannotRun(fmt.Errorf("the case took too long")) })
+	cases[os.Args[1]](r)
+	r.stop()
+	if len(r.broken) == 0 {
+		r.logf("the rule held")
+		fmt.Println("the rule held")
+		return
+	}
+	for _, text := range r.broken[:min(len(r.broken), 5)] {
+		fmt.Println("BROKEN", text)
+	}
+	os.Exit(1)
+}
