--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -84,10 +85,10 @@
 
 	mu      sync.Mutex
 	version int
-	servers []object
+	servers []object // the whole list
+	lines   [][]byte // a line of each change, in order
 	changed chan struct{}
 	notices []noticeSeen
-	onEnd   func(noticeSeen)
 }
 
 type noticeSeen struct {
@@ -108,44 +109,54 @@
 	return a
 }
 
-func (a *agent) text() []byte {
-	text, _ := json.Marshal(object{"version": a.version, "full": true, "servers": a.servers})
-	return text
+// text is a list in discovery's form. Called with mu held.
+func (a *agent) text(full bool, servers []object) []byte {
+	text, _ := json.Marshal(object{"version": a.version, "full": full, "servers": servers})
+	return append(text, '\n')
 }
 
 func (a *agent) list(w http.ResponseWriter, req *http.Request) {
 	a.mu.Lock()
-	text, changed := a.text(), a.changed
+	text, seen := a.text(true, a.servers), len(a.lines)
 	a.mu.Unlock()
+	w.Write(text)
 	if req.URL.Query().Get("stream") == "" {
-		w.Write(append(text, '\n'))
 		return
 	}
 	flush := w.(http.Flusher)
-	fmt.Fprintf(w, "%s\n", text)
-	flush.Flush()
 	for {
+		flush.Flush()
+		a.mu.Lock()
+		lines, changed := a.lines[seen:], a.changed
+		a.mu.Unlock()
+		if len(lines) > 0 {
+			w.Write(lines[0])
+			seen++
+			continue
+		}
 		select {
 		case <-req.Context().Done():
 			return
 		case <-changed:
-			a.mu.Lock()
-			text, changed = a.text(), a.changed
-			a.mu.Unlock()
-			fmt.Fprintf(w, "%s\n", text)
 		case <-time.After(2 * time.Second):
 			fmt.Fprint(w, "\n")
 		}
-		flush.Flush()
 	}
 }
 
-// set changes the list.
-func (a *agent) set(servers []object) {
+// change tells of entries that have changed; state "gone" takes one out of the list.
+func (a *agent) change(entries ...object) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.version++
-	a.servers = servers
+	for _, e := range entries {
+		a.servers = slices.DeleteFunc(slices.Clone(a.servers), func(x object) bool { return x["id"] == e["id"] })
+		if e["state"] != "gone" {
+			a.servers = append(a.servers, e)
+		}
+		a.rig.logf("the list: %v of kind %v, cell %v, is %v", e["id"], e["kind"], e["cell"], e["state"])
+	}
+	a.lines = append(a.lines, a.text(false, entries))
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
@@ -170,9 +181,6 @@
 	a.mu.Unlock()
 	for _, n := range all {
 		a.rig.logf("notice %q %s", n.ID, n.Status)
-		if a.onEnd != nil {
-			a.onEnd(n)
-		}
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
@@ -229,8 +237,11 @@
 	return e
 }
 
-func (e *endpoint) listing() object {
-	return object{"id": e.id, "addr": e.addr, "zone": e.zone, "kind": e.kind, "cell": e.cell, "state": "ready", "weight": 1.0, "started_ms": 0}
+// listing is the endpoint's entry in the list.
+func (e *endpoint) listing() object { return e.listed("ready") }
+
+func (e *endpoint) listed(state string) object {
+	return object{"id": e.id, "addr": e.addr, "zone": e.zone, "kind": e.kind, "cell": e.cell, "state": state, "weight": 1.0, "started_ms": 0}
 }
 
 func (e *endpoint) serve() {
