--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -399,7 +399,7 @@
 // awaitReady waits for a 200 at the second address.
 func (p *relay) awaitReady(limit time.Duration) bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	for end := time.Now().Add(limit); time.Now().Before(end) && p.running(); time.Sleep(5 * time.Millisecond) {
 		res, err := client.Get("http://" + p.admin + "/api/ready")
 		if err != nil {
 			continue
