--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -10,6 +10,10 @@
 	"time"
 )
 
+// maxTempDir is the longest path of a folder for temporary files under which a relay's socket for hand-overs has a path that the system
+// takes.
+const maxTempDir = 60
+
 var cases = map[string]func(*rig){}
 
 func main() {
@@ -33,7 +37,11 @@
 		os.Exit(2)
 	}
 	r := &rig{root: root, began: time.Now(), trouble: os.Getenv("TROUBLE") != "0", record: record}
-	if r.temp, err = os.MkdirTemp("", "review"); err != nil {
+	parent := ""
+	if len(os.TempDir()) > maxTempDir {
+		parent = "/tmp"
+	}
+	if r.temp, err = os.MkdirTemp(parent, "review"); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
