Review rig: end the relays when a case is ended from outside or panics

Two relays of an early trial outlived its panic, since the signal that a parent's end sends does not outlast the relay's exec of the fleet program. A case that is ended by a signal now ends its processes and exits with 2.

--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -5,8 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sort"
 	"strings"
+	"syscall"
 	"time"
 )
 
@@ -46,6 +48,14 @@
 		os.Exit(2)
 	}
 	time.AfterFunc(110*time.Second, func() { r.cannotRun(fmt.Errorf("the case took too long")) })
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() { r.cannotRun(fmt.Errorf("ended from outside: %v", <-ended)) }()
+	defer func() { // no process is left behind, whatever becomes of the case
+		if p := recover(); p != nil {
+			r.cannotRun(fmt.Errorf("%v", p))
+		}
+	}()
 	cases[os.Args[1]](r)
 	r.stop()
 	if len(r.broken) == 0 {
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -62,7 +62,10 @@
 
 // stop ends every process that the play has started, and removes its folder.
 func (r *rig) stop() {
-	for _, p := range r.procs {
+	r.mu.Lock()
+	procs := slices.Clone(r.procs)
+	r.mu.Unlock()
+	for _, p := range procs {
 		p.kill()
 	}
 	if os.Getenv("KEEP") == "" {
