--- a/review/rig2/case_moved.go
+++ b/review/rig2/case_moved.go
@@ -155,6 +155,7 @@
 				r.cannotRun(fmt.Errorf("the new process is not ready:\n%s", r.tail("n1")))
 			}
 			old.signal(syscall.SIGTERM)
+			<-old.exited
 			return next
 		default:
 		}
@@ -176,6 +177,7 @@
 	}
 	r.logf("the kill came behind the hand-over: both processes end, and the relay starts again")
 	old.kill()
+	time.Sleep(600 * time.Millisecond)
 	next = p.base.launch()
 	p.mu.Lock()
 	p.down = append(p.down, killed, time.Now())
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -446,10 +446,16 @@
 	}
 }
 
-// tail is the end of a relay's log.
+// tail is the end of a relay's log, without the lines that name source files, and without paths of this machine.
 func (r *rig) tail(name string) string {
 	data, _ := os.ReadFile(filepath.Join(r.temp, name, "log"))
-	return string(data[max(0, len(data)-3000):])
+	var kept strings.Builder
+	for line := range strings.Lines(string(data[max(0, len(data)-3000):])) {
+		if !strings.HasPrefix(line, "\t") {
+			kept.WriteString(line)
+		}
+	}
+	return strings.NewReplacer(r.temp, "FOLDER", r.root, "ROOT").Replace(kept.String())
 }
 
 // runCommand returns the command `run` of the deploy file.
