--- a/review/rig2/case_copies.go
+++ b/review/rig2/case_copies.go
@@ -57,13 +57,23 @@
 	for i := range 2 {
 		servers = append(servers, r.startEndpoint(fmt.Sprintf("s-%d", i), 7, "short-lines", "north-bldg", answer).listing())
 	}
+	// Four messages in five are for partners of usual pace.
+	for i := range 4 {
+		servers = append(servers, r.startEndpoint(fmt.Sprintf("s-usual-%d", i), i, "short-lines", "south-bldg", func(c *call) string {
+			time.Sleep(180 * time.Millisecond)
+			return delivered(c)
+		}).listing())
+	}
 	a := r.startAgent(servers)
 	base := r.newRelay("n1", d, a, servers, "")
 	first := base.launch()
 	var ids []string
-	for i := range 3 {
-		m := message{id: fmt.Sprintf("9b1f03aa5c7e%04d", i), class: "car-status", customer: "aspen-pulse", dest: 7, expiresMS: 5000, body: fmt.Appendf(nil, "status %d", i)}
-		if r.submit(base.listen, m) == 202 {
+	for i := range 15 {
+		m := message{id: fmt.Sprintf("9b1f03aa5c7e%04d", i), class: "car-status", customer: "aspen-pulse", dest: i % 5, expiresMS: 5000, body: fmt.Appendf(nil, "status %d", i)}
+		if m.dest == 4 {
+			m.dest = 7
+		}
+		if r.submit(base.listen, m) == 202 && m.dest == 7 {
 			ids = append(ids, m.id)
 		}
 	}
